--- /dev/null
+++ b/cmd/yarrowgap/serve.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/api"
+	"github.com/yarrowgap/yarrowgap/internal/node"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+)
+
+type serveCmd struct{ inputs }
+
+func (c serveCmd) Run() error {
+	log, err := logger(os.Stderr, os.Getenv("LOG_LEVEL"))
+	if err != nil {
+		return err
+	}
+	cfg, pol, err := c.load()
+	if err != nil {
+		return err
+	}
+	quota := cfg.Deployment.Quota
+	debug.SetGCPercent(tuning.GCPercent)
+	if quota.MemMB > 0 {
+		debug.SetMemoryLimit(int64(quota.MemMB * tuning.MemoryShare * (1 << 20)))
+	}
+	users, err := net.Listen("tcp", cfg.Bind)
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", cfg.MeshAddr)
+	if err != nil {
+		return err
+	}
+	if quota.FDLimit > 0 {
+		users = limit(users, max(16, int(float64(quota.FDLimit)*tuning.SocketShare)))
+	}
+	log = log.With("node", cfg.Node)
+	n := node.New(cfg, pol, log)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log.Info("serving", "bind", cfg.Bind, "mesh", cfg.MeshAddr, "zone", cfg.Zone, "version", version)
+
+	failed := make(chan error, 2)
+	servers := []*http.Server{serve(users, api.New(n, log), log, failed), serve(peers, api.NewMesh(n, log), log, failed)}
+	done := make(chan struct{})
+	go func() { n.Run(ctx); close(done) }()
+	select {
+	case err = <-failed:
+		stop()
+	case <-ctx.Done():
+		log.Info("stopping")
+	}
+	down, cancel := context.WithTimeout(context.Background(), tuning.StateTimeout)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Shutdown(down)
+	}
+	select {
+	case <-done:
+	case <-down.Done():
+	}
+	return err
+}
+
+func serve(l net.Listener, h http.Handler, log *slog.Logger, failed chan<- error) *http.Server {
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: tuning.HeaderTimeout,
+		ReadTimeout:       tuning.HeaderTimeout + tuning.BodyTimeout,
+		IdleTimeout:       tuning.IdleConn,
+		MaxHeaderBytes:    8 << 10,
+		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+	}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			failed <- err
+		}
+	}()
+	return s
+}
+
+// limited accepts at most a number of connections at once. One over it is
+// closed at once, so that its sender can turn to another node.
+type limited struct {
+	net.Listener
+	slots chan struct{}
+}
+
+func limit(l net.Listener, n int) net.Listener {
+	return &limited{l, make(chan struct{}, n)}
+}
+
+func (l *limited) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case l.slots <- struct{}{}:
+			return &limitedConn{Conn: c, leave: sync.OnceFunc(func() { <-l.slots })}, nil
+		default:
+			_ = c.SetDeadline(time.Now())
+			_ = c.Close()
+		}
+	}
+}
+
+type limitedConn struct {
+	net.Conn
+	leave func()
+}
+
+func (c *limitedConn) Close() error {
+	defer c.leave()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,201 @@
+// Package config reads and checks the settings file that the platform hands
+// over. Unknown fields are ignored.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Peer is another controller node.
+type Peer struct {
+	Name string `toml:"node"`
+	Zone string `toml:"domain"`
+	Addr string `toml:"addr"`
+}
+
+// Team has a guarantee and a limit; a limit of 0 means none at all.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective restates one aim of the deployment.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Settings is the whole file.
+type Settings struct {
+	Node     string `toml:"node"`
+	Zone     string `toml:"domain"`
+	Bind     string `toml:"bind"`
+	MeshAddr string `toml:"mesh_addr"`
+	Peers    []Peer `toml:"seeds"`
+	Outside  struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"outside"`
+	Deployment struct {
+		Size         int         `toml:"size"`
+		Zones        []string    `toml:"zones"`
+		ClockErrorMS float64     `toml:"clock_error_ms"`
+		Teams        []Team      `toml:"teams"`
+		Objectives   []Objective `toml:"objectives"`
+		Workers      struct {
+			ReportS float64 `toml:"report_s"`
+			LeaseS  float64 `toml:"lease_s"`
+			CancelS float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Quota struct {
+			CPUShare float64 `toml:"cpu_share"`
+			MemMB    float64 `toml:"mem_mb"`
+			FDLimit  int     `toml:"fd_limit"`
+		} `toml:"quota"`
+	} `toml:"deployment"`
+}
+
+// Load reads and checks the settings file at path.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Parse(b)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse decodes and checks settings. Errors name the field.
+func Parse(b []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := toml.Unmarshal(b, s); err != nil {
+		var de *toml.DecodeError
+		if errors.As(err, &de) {
+			row, col := de.Position()
+			return nil, fmt.Errorf("line %d, column %d: %v: %s", row, col, de.Key(), de.Error())
+		}
+		return nil, err
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	var errs []error
+	bad := func(field, format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%s: %s", field, fmt.Sprintf(format, args...)))
+	}
+	name := func(field, v string) {
+		if v == "" {
+			bad(field, "missing")
+		}
+	}
+	addr := func(field, v string) {
+		if v == "" {
+			bad(field, "missing")
+		} else if _, _, err := net.SplitHostPort(v); err != nil {
+			bad(field, "not an address with a port: %q", v)
+		}
+	}
+	positive := func(field string, v float64) {
+		if !(v > 0 && v < 1e9) {
+			bad(field, "must be above 0, is %v", v)
+		}
+	}
+	name("node", s.Node)
+	name("domain", s.Zone)
+	addr("bind", s.Bind)
+	addr("mesh_addr", s.MeshAddr)
+	seen := map[string]bool{s.Node: true}
+	for i, p := range s.Peers {
+		f := fmt.Sprintf("seeds[%d]", i)
+		name(f+".node", p.Name)
+		addr(f+".addr", p.Addr)
+		if seen[p.Name] {
+			bad(f+".node", "named twice: %q", p.Name)
+		}
+		seen[p.Name] = true
+	}
+	addr("outside.cloud", s.Outside.Cloud)
+	addr("outside.state", s.Outside.State)
+	d := &s.Deployment
+	if len(d.Zones) == 0 {
+		bad("deployment.zones", "missing")
+	}
+	if !(d.ClockErrorMS >= 0) {
+		bad("deployment.clock_error_ms", "must not be negative")
+	}
+	teams := map[string]bool{}
+	for i, t := range d.Teams {
+		f := fmt.Sprintf("deployment.teams[%d]", i)
+		name(f+".name", t.Name)
+		if teams[t.Name] {
+			bad(f+".name", "named twice: %q", t.Name)
+		}
+		teams[t.Name] = true
+		for _, v := range []struct {
+			n string
+			v float64
+		}{{"cpus", t.CPUs}, {"cpus_max", t.CPUsMax}, {"gpus", t.GPUs}, {"gpus_max", t.GPUsMax}} {
+			if !(v.v >= 0 && v.v < 1e9) {
+				bad(f+"."+v.n, "out of range: %v", v.v)
+			}
+		}
+	}
+	if len(d.Teams) == 0 {
+		bad("deployment.teams", "missing")
+	}
+	positive("deployment.workers.report_s", d.Workers.ReportS)
+	positive("deployment.workers.lease_s", d.Workers.LeaseS)
+	positive("deployment.workers.cancel_s", d.Workers.CancelS)
+	positive("deployment.state.rps", d.State.RPS)
+	positive("deployment.state.write_rps", d.State.WriteRPS)
+	positive("deployment.state.value_kb", d.State.ValueKB)
+	if d.State.TxnOps < 2 {
+		bad("deployment.state.txn_ops", "must be at least 2, is %d", d.State.TxnOps)
+	}
+	positive("deployment.cloud.rps", d.Cloud.RPS)
+	if !(d.Cloud.ListLagS >= 0) {
+		bad("deployment.cloud.list_lag_s", "must not be negative")
+	}
+	if d.Quota.MemMB < 0 || d.Quota.FDLimit < 0 {
+		bad("deployment.quota", "must not be negative")
+	}
+	return errors.Join(errs...)
+}
+
+// Seconds turns a duration of the settings into one of Go's.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Thrifty reports whether the deployment aims at price or useful work.
+func (s *Settings) Thrifty() bool {
+	for _, o := range s.Deployment.Objectives {
+		if o.Kind == "price" || o.Kind == "useful" {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/fleet.go
@@ -0,0 +1,568 @@
+package core
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// SetTypes takes the cloud's machine types.
+func (l *Leader) SetTypes(now Now, types []wire.MachineType) {
+	l.now = now
+	for i := range types {
+		t := types[i]
+		l.types[t.Name] = &t
+	}
+	for _, m := range l.machines {
+		m.mt = l.types[m.typ]
+	}
+}
+
+// Tick does what falls due with time.
+func (l *Leader) Tick(now Now) {
+	l.now = now
+	for _, m := range l.sorted() {
+		l.watchMachine(m)
+	}
+	if l.machinesUp() > 0 && now.Mono-max(l.heardAny, l.startedAt) > l.cfg.Report*tuning.LonelyReports {
+		l.out.Resign = "no worker reaches this node"
+	}
+	l.returnMachines()
+	if now.Mono-l.placedAt >= time.Second {
+		l.dirtyPlace = true // capacity may be offered again, machines heard again
+	}
+	l.Settle(now)
+}
+
+// Settle places, writes and rents after any input.
+func (l *Leader) Settle(now Now) {
+	l.now = now
+	l.retryDue()
+	if l.dirtyPlace && now.Mono-l.placedAt >= tuning.PlaceGap {
+		l.placedAt = now.Mono
+		left := l.place()
+		l.rent(left)
+	}
+	l.flush()
+}
+
+// retryDue wakes jobs whose pause after a failure is over.
+func (l *Leader) retryDue() {
+	for _, j := range l.jobs {
+		if j.retryAt > 0 && l.now.Mono >= j.retryAt {
+			j.retryAt = 0
+			l.dirtyPlace = true
+		}
+	}
+}
+
+// Unsettled reports whether placement waits for its gap to pass.
+func (l *Leader) Unsettled() bool { return l.dirtyPlace }
+
+func (l *Leader) machinesUp() int {
+	n := 0
+	for _, m := range l.machines {
+		if m.phase == up {
+			n++
+		}
+	}
+	return n
+}
+
+// watchMachine sends what is due, probes, and gives up on what is lost.
+func (l *Leader) watchMachine(m *machine) {
+	if m.phase != up {
+		return
+	}
+	due := false
+	for _, a := range m.list() {
+		if a.sent && !a.seen && !a.halt && a.firstSent > 0 && a.nextProbe <= l.now.Mono && !a.calling {
+			// The next probe would be sent now: give up if it is too late for it.
+			if l.now.Mono >= l.horizon(a) || a.job == nil {
+				a.giveUp = true
+				l.count.ProbeGiveUp++
+				l.line(false, "start never acknowledged, giving up", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", m.name, "probes", a.probes)
+				l.failures = append(l.failures, Failure{wire.TaskName(a.ref.job, a.ref.index), a.number, m.name, "ack timeout", l.now.Wall})
+				l.stop(a, false, "start never acknowledged")
+				continue
+			}
+			due = true
+		}
+		if a.halt && l.now.Mono-a.haltedAt >= tuning.HaltRepeat {
+			due = true
+		}
+	}
+	if due {
+		l.push(m)
+	}
+	quiet := l.now.Mono - m.heardAt
+	if quiet > l.cfg.Report*2 || !m.confirmed || l.waiting(m) && m.seenToken < l.token(m) {
+		l.poke(m)
+	}
+}
+
+// Listed takes the cloud's list, as it was a while ago.
+func (l *Leader) Listed(now Now, list []wire.ListedMachine) {
+	l.now = now
+	l.listed = true
+	for i := range list {
+		it := &list[i]
+		if l.gone[it.Name] {
+			continue
+		}
+		m := l.machines[it.Name]
+		if m == nil {
+			m = l.addMachine(it.Name, it.Type, it.Zone, it.Spot, it.Address)
+			m.rentedAt = now.Mono - time.Duration(it.AgeS*float64(time.Second))
+			l.line(false, "machine adopted from the cloud's list", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot, "state", it.State)
+			l.dirtyPlace = true
+		}
+		m.listedAt = now.Mono
+		if m.addr == "" {
+			m.addr = it.Address
+		}
+		if it.State == wire.MachineFailed && !m.failed {
+			m.failed = true
+			l.line(false, "machine failed", "machine", m.name, "tasks", len(m.tasks))
+		}
+	}
+}
+
+// returnMachines gives back what is broken, lost, too slow to come up, or idle.
+func (l *Leader) returnMachines() {
+	if l.now.Mono < l.relRetry {
+		return
+	}
+	silentZone := l.silentZones()
+	var names []string
+	for _, m := range l.sorted() {
+		if len(names) == tuning.ReleaseMax {
+			break
+		}
+		why := l.returnReason(m, silentZone)
+		if why == "" {
+			continue
+		}
+		l.line(false, "giving machine back", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot, "why", why, "tasks", len(m.tasks))
+		m.phase = releasing
+		for _, a := range m.list() {
+			if !a.sent {
+				l.detach(a)
+			}
+		}
+		names = append(names, m.name)
+	}
+	for _, m := range l.sorted() {
+		if m.phase == releasing && m.askAgain && len(names) < tuning.ReleaseMax {
+			m.askAgain = false
+			names = append(names, m.name)
+		}
+	}
+	if len(names) > 0 {
+		l.out.Release = append(l.out.Release, names)
+	}
+}
+
+func (l *Leader) returnReason(m *machine, silentZone map[string]bool) string {
+	now := l.now.Mono
+	switch m.phase {
+	case releasing:
+		return ""
+	case booting:
+		patience := max(tuning.BootPatienceMin, l.bootTime(m.typ)*time.Duration(100*l.cfg.Policy.BootPatience)/100)
+		if m.failed {
+			return "failed while starting"
+		}
+		if now-m.rentedAt > patience {
+			return "never came up"
+		}
+		return ""
+	}
+	if m.failed && now-m.heardAt > l.cfg.Report*2 {
+		return "failed"
+	}
+	quiet := now - m.heardAt
+	limit := l.cfg.Lease + l.cfg.Lease/1000 + tuning.SilentSlack
+	if silentZone[m.zone] {
+		limit = time.Duration(float64(l.cfg.Lease) * tuning.ZoneSilence)
+	}
+	if quiet > limit {
+		return "silent for longer than its lease"
+	}
+	if len(m.tasks) == 0 && m.leaveBy == 0 && m.suspect > now {
+		return "unrelated jobs fail there"
+	}
+	if len(m.tasks) == 0 && m.leaveBy == 0 && !l.dirtyPlace && quiet < l.cfg.Report*2 &&
+		now-max(m.idleSince, m.upAt) > l.cfg.Policy.IdleRelease && l.spareWithout(m) {
+		return "idle"
+	}
+	return ""
+}
+
+// silentZones are the zones in which every machine is silent, while there is
+// more than one: then it is the network, and a node inside may keep them alive.
+func (l *Leader) silentZones() map[string]bool {
+	total, quiet := map[string]int{}, map[string]int{}
+	for _, m := range l.machines {
+		if m.phase != up {
+			continue
+		}
+		total[m.zone]++
+		if l.now.Mono-m.heardAt > l.cfg.Report*2 {
+			quiet[m.zone]++
+		}
+	}
+	out := map[string]bool{}
+	for z, n := range total {
+		if n > 1 && quiet[z] == n {
+			out[z] = true
+		}
+	}
+	return out
+}
+
+func (l *Leader) bootTime(typ string) time.Duration {
+	if t := l.types[typ]; t != nil {
+		return time.Duration(t.BootS * float64(time.Second))
+	}
+	return tuning.BootPatienceMin
+}
+
+// ReleaseResult says what became of a release.
+type ReleaseResult int
+
+// Outcomes of a release.
+const (
+	ReleaseUnknown ReleaseResult = iota // carried out, or not, or later
+	ReleaseDone                         // the machines and all on them are gone
+	ReleaseRefused                      // not carried out
+)
+
+// Released takes the answer to a release. ReleaseDone is the proof that lets the
+// tasks that were there be placed again.
+func (l *Leader) Released(now Now, names []string, res ReleaseResult) {
+	l.now = now
+	if res != ReleaseDone {
+		l.relRetry = now.Mono + tuning.CloudRetry
+		for _, n := range names {
+			m := l.machines[n]
+			switch {
+			case m == nil:
+			case res == ReleaseRefused:
+				m.phase = up // it may have come back to life meanwhile
+				if m.addr == "" {
+					m.phase = booting
+				}
+			default:
+				m.askAgain = true
+			}
+		}
+		return
+	}
+	for _, n := range names {
+		m := l.machines[n]
+		l.gone[n] = true
+		if m == nil {
+			continue
+		}
+		l.count.Returned++
+		l.removeMachine(m)
+	}
+}
+
+func (l *Leader) removeMachine(m *machine) {
+	for _, a := range m.list() {
+		l.detach(a)
+		l.ended(a, "machine gone")
+	}
+	delete(l.machines, m.name)
+	if m.stamp > 0 || m.writing {
+		l.tombs = append(l.tombs, m.name)
+	}
+	l.dirtyPlace = true
+}
+
+// slot is room on a machine that is on its way, or could be rented.
+type slot struct {
+	typ, zone       string
+	spot            bool
+	mt              *wire.MachineType
+	cpus, gpus, mem float64
+}
+
+func (s *slot) take(j *job) bool {
+	if !j.allows(s.typ, s.zone, s.spot) || s.cpus+epsilon < j.spec.CPUs || s.gpus+epsilon < j.spec.GPUs || s.mem+epsilon < j.spec.MemoryGB {
+		return false
+	}
+	s.cpus -= j.spec.CPUs
+	s.gpus -= j.spec.GPUs
+	s.mem -= j.spec.MemoryGB
+	return true
+}
+
+func newSlot(t *wire.MachineType, zone string, spot bool) *slot {
+	return &slot{t.Name, zone, spot, t, t.CPUs, t.GPUs, t.MemoryGB}
+}
+
+// rent asks for machines for what could not be placed, counting those that are
+// on their way, and for spare ones where price is no aim.
+func (l *Leader) rent(left []want) {
+	if len(l.types) == 0 || !l.listed {
+		return
+	}
+	var coming []*slot
+	count := 0
+	for _, m := range l.sorted() {
+		if m.phase != releasing {
+			count++
+		}
+		if m.phase == booting && !m.failed && m.mt != nil {
+			coming = append(coming, newSlot(m.mt, m.zone, m.spot))
+		}
+	}
+	names := make([]string, 0, len(l.rentals))
+	for n := range l.rentals {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		r := l.rentals[n]
+		if t := l.types[r.offer.typ]; t != nil {
+			for i := 0; i < r.count; i++ {
+				coming = append(coming, newSlot(t, r.offer.zone, r.offer.spot))
+			}
+			count += r.count
+		}
+	}
+	orders := map[offer]int{}
+	order := func(j *job) bool {
+		if l.cfg.Policy.MaxMachines > 0 && count >= l.cfg.Policy.MaxMachines {
+			return false
+		}
+		o, ok := l.bestOffer(j, coming)
+		if !ok {
+			return false
+		}
+		orders[o]++
+		count++
+		coming = append(coming, newSlot(l.types[o.typ], o.zone, o.spot))
+		return true
+	}
+	for _, w := range left {
+		n := l.worthRenting(w)
+		for k := 0; k < n; k++ {
+			fits := false
+			for _, s := range coming {
+				if s.take(w.j) {
+					fits = true
+					break
+				}
+			}
+			if !fits {
+				if !order(w.j) {
+					break
+				}
+				coming[len(coming)-1].take(w.j)
+			}
+		}
+	}
+	l.rentSpare(coming, orders, &count)
+	keys := make([]offer, 0, len(orders))
+	for o := range orders {
+		keys = append(keys, o)
+	}
+	sort.Slice(keys, func(a, b int) bool {
+		x, y := keys[a], keys[b]
+		if x.typ != y.typ {
+			return x.typ < y.typ
+		}
+		if x.zone != y.zone {
+			return x.zone < y.zone
+		}
+		return !x.spot && y.spot
+	})
+	for _, o := range keys {
+		l.order(o, min(orders[o], tuning.RentMax))
+	}
+}
+
+// worthRenting is how many of the tasks left over are worth a new machine.
+func (l *Leader) worthRenting(w want) int { return w.n }
+
+func (l *Leader) order(o offer, n int) {
+	l.nextHire++
+	// The term makes the name unlike any other leader's, the counter unlike
+	// any other of ours: a used name would rent nothing.
+	name := fmt.Sprintf("yg-%d-%d", l.term, l.nextHire)
+	l.rentals[name] = &rentalState{offer: o, count: n, at: l.now.Mono}
+	l.line(false, "renting", "hire", name, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", n)
+	l.out.Rent = append(l.out.Rent, Rental{wire.RentRequest{Name: name, Type: o.typ, Zone: o.zone, Spot: o.spot, Count: n}})
+}
+
+// bestOffer chooses what to rent for a job, or, without one, as spare.
+func (l *Leader) bestOffer(j *job, coming []*slot) (offer, bool) {
+	perZone := map[string]int{}
+	for _, m := range l.machines {
+		if m.phase != releasing {
+			perZone[m.zone]++
+		}
+	}
+	for _, s := range coming {
+		perZone[s.zone]++
+	}
+	var z map[string]int
+	if j != nil {
+		z = j.zones()
+	}
+	best, bestScore := offer{}, math.Inf(1)
+	for _, t := range l.sortedTypes() {
+		for _, zone := range t.Zones {
+			for _, spot := range []bool{false, true} {
+				o := offer{t.Name, zone, spot}
+				if l.now.Mono < l.noCap[o] || spot && !l.cfg.Policy.UseSpot {
+					continue
+				}
+				per := 1.0
+				if j != nil {
+					if !t.Fits(&j.spec) || !j.allows(t.Name, zone, spot) || !j.zoneOpen(z, zone) {
+						continue
+					}
+					per = math.Inf(1) // tasks that fit on one
+					if j.spec.CPUs > 0 {
+						per = min(per, math.Floor(t.CPUs/j.spec.CPUs+epsilon))
+					}
+					if j.spec.MemoryGB > 0 {
+						per = min(per, math.Floor(t.MemoryGB/j.spec.MemoryGB+epsilon))
+					}
+					per = max(1, min(per, 1000))
+				} else {
+					per = t.CPUs
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotCost
+				}
+				var score float64
+				if l.cfg.Thrifty {
+					score = price/per + 1e-4*float64(perZone[zone])
+				} else {
+					// Service first: ordinary machines stay, big ones serve
+					// more, zones are kept even.
+					score = float64(perZone[zone]) * 0.01
+					if spot {
+						score++
+					}
+					score -= 0.001 * min(per, 50)
+				}
+				if score < bestScore {
+					best, bestScore = o, score
+				}
+			}
+		}
+	}
+	return best, !math.IsInf(bestScore, 1)
+}
+
+func (l *Leader) sortedTypes() []*wire.MachineType {
+	out := make([]*wire.MachineType, 0, len(l.types))
+	for _, t := range l.types {
+		out = append(out, t)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Name < out[b].Name })
+	return out
+}
+
+// capacity sums what is in use and what there is, in CPUs.
+func (l *Leader) capacity() (used, total float64) {
+	for _, m := range l.machines {
+		if m.mt == nil || m.phase == releasing || m.failed || m.leaveBy > 0 {
+			continue
+		}
+		total += m.mt.CPUs
+		used += m.cpus
+	}
+	return used, total
+}
+
+func (l *Leader) rentSpare(coming []*slot, orders map[offer]int, count *int) {
+	if l.cfg.Policy.SpareShare <= 0 {
+		return
+	}
+	used, total := l.capacity()
+	for _, r := range l.rentals {
+		if t := l.types[r.offer.typ]; t != nil {
+			total += t.CPUs * float64(r.count)
+		}
+	}
+	for o, n := range orders {
+		total += l.types[o.typ].CPUs * float64(n)
+	}
+	for total < used*(1+l.cfg.Policy.SpareShare) {
+		if l.cfg.Policy.MaxMachines > 0 && *count >= l.cfg.Policy.MaxMachines {
+			return
+		}
+		o, ok := l.bestOffer(nil, coming)
+		if !ok {
+			return
+		}
+		orders[o]++
+		*count++
+		coming = append(coming, newSlot(l.types[o.typ], o.zone, o.spot))
+		total += l.types[o.typ].CPUs
+	}
+}
+
+// spareWithout reports whether enough spare capacity stays without m.
+func (l *Leader) spareWithout(m *machine) bool {
+	used, total := l.capacity()
+	if m.mt == nil {
+		return true
+	}
+	return total-m.mt.CPUs >= used*(1+l.cfg.Policy.SpareShare)
+}
+
+// RentResult says what became of a rental.
+type RentResult int
+
+// Outcomes of a rental.
+const (
+	RentUnknown RentResult = iota // machines may have been rented; the list will show them
+	RentDone                      // the named machines were rented
+	RentNone                      // no capacity
+	RentRefused                   // not carried out: trouble or too many requests
+)
+
+// Rented takes the answer to a rental.
+func (l *Leader) Rented(now Now, name string, res RentResult, machines []string) {
+	l.now = now
+	r := l.rentals[name]
+	if r == nil {
+		return
+	}
+	delete(l.rentals, name)
+	switch res {
+	case RentDone:
+		l.count.Rented += uint64(len(machines))
+		for _, n := range machines {
+			if l.machines[n] == nil && !l.gone[n] {
+				l.addMachine(n, r.offer.typ, r.offer.zone, r.offer.spot, "")
+			}
+		}
+		if len(machines) < r.count {
+			l.noCap[r.offer] = now.Mono + tuning.CapacityPause
+		}
+	case RentNone:
+		l.noCap[r.offer] = now.Mono + tuning.CapacityPause
+	case RentRefused:
+		l.noCap[r.offer] = now.Mono + 2*tuning.CloudRetry
+	case RentUnknown:
+		// Whatever was rented is listed soon; until then nothing more of it.
+		l.noCap[r.offer] = now.Mono + tuning.CapacityPause
+	}
+	l.line(false, "rental answered", "hire", name, "result", int(res), "machines", len(machines))
+	l.dirtyPlace = true
+}
--- /dev/null
+++ b/internal/core/leader.go
@@ -0,0 +1,687 @@
+// Package core decides. It is a state machine without I/O, goroutines, clock or
+// randomness of its own: inputs come in with the time at which they came, and
+// what is to be sent, written and answered comes out as Effects.
+//
+// The guarantees rest on three habits. A task is written into its machine's
+// record before any start is sent there; it leaves our picture only on proof
+// that it is gone and cannot come back (see provenAbsent and Released); and
+// every write is conditioned on the leader's key, so that a leader who has been
+// replaced can change nothing.
+package core
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// Now is the time of an input: Mono since the process started, Wall in
+// milliseconds of the time of day.
+type Now struct {
+	Mono time.Duration
+	Wall int64
+}
+
+// Team is a team's guarantee and limit.
+type Team struct {
+	CPUs, CPUsMax, GPUs, GPUsMax float64
+}
+
+// Settings are what the leader needs of the deployment and of the operators.
+type Settings struct {
+	Teams      map[string]Team
+	Zones      []string
+	Report     time.Duration
+	Lease      time.Duration
+	TxnOps     int
+	ValueBytes int
+	WriteRate  float64
+	Thrifty    bool
+	Policy     policy.Settings
+}
+
+// Effects are what the node has to do after an input.
+type Effects struct {
+	Direct  []DirectCall
+	Commits []Commit
+	Reads   []string // machine records to read again
+	Rent    []Rental
+	Release [][]string
+	Resign  string // why the lead has to be given up, if it has to
+	Log     []Line
+}
+
+// DirectCall is a POST /commands to a machine.
+type DirectCall struct {
+	ID      uint64
+	Machine string
+	Addr    string
+	Body    wire.DirectCommands
+}
+
+// Commit is a transaction of the leader.
+type Commit struct {
+	ID  uint64
+	Txn wire.Txn
+}
+
+// Rental is a request for machines.
+type Rental struct {
+	Request wire.RentRequest
+}
+
+// Line is a line for the log.
+type Line struct {
+	Debug bool
+	Msg   string
+	Args  []any
+}
+
+// taskRef names a task.
+type taskRef struct {
+	job   string
+	index int
+}
+
+type phase int
+
+const (
+	booting   phase = iota // rented, its worker has not reported yet
+	up                     // its worker has reported
+	releasing              // being given back; nothing is sent to it any more
+)
+
+type machine struct {
+	name, typ, zone, addr string
+	spot                  bool
+	mt                    *wire.MachineType
+
+	phase     phase
+	rentedAt  time.Duration
+	upAt      time.Duration
+	heardAt   time.Duration // last sign of life
+	idleSince time.Duration
+	leaveBy   time.Duration // when the cloud takes it; 0: not announced
+	askAgain  bool          // its release has to be asked for once more
+	failed    bool          // the cloud says that it has stopped
+	listedAt  time.Duration // last time that the cloud listed it
+	suspect   time.Duration // avoided until then
+	pauseTo   time.Duration // no starts until then
+	failedBy  map[string]bool
+
+	// Order of its messages, and what it has seen.
+	session, tick, checkinTick uint64
+	seenToken                  uint64
+	confirmed                  bool   // its present tasks are known under our term
+	fence                      uint64 // low bits of the token now used with it
+	directUsed                 bool   // starts went directly under the present fence
+	calling                    bool   // a direct call is out
+	callAgain                  bool
+	pokedAt                    time.Duration
+
+	tasks           map[taskRef]*attempt
+	exited          map[taskRef]exit // told by the worker, dealt with by us, not yet forgotten
+	extras          []wire.Command   // stops of attempts that are not in our picture
+	images          []image          // most recently used last
+	cpus, gpus, mem float64
+
+	// Its record.
+	stamp   uint64
+	dirty   bool
+	urgent  bool
+	dirtyAt time.Duration
+	writing bool
+	reading bool
+}
+
+type image struct {
+	name string
+	gb   float64
+}
+
+type exit struct {
+	attempt uint64
+	done    bool
+}
+
+// attempt is one try of a task on one machine.
+type attempt struct {
+	ref    taskRef
+	job    *job // nil if the job is not live
+	m      *machine
+	number uint64
+
+	recorded bool // in the machine's durable record
+	sent     bool // a start has been or may have been sent
+	seen     bool // the worker has listed it: the start is acknowledged
+	state    string
+
+	// The latest start: what has to be known before it counts as not executed.
+	session   uint64 // worker's session to which it was sent
+	replyTick uint64 // report in whose answer it went; 0 if none
+	needFence uint64 // fence below which it may still be executed late
+	calling   bool   // a direct call with it is out
+
+	probes    int
+	firstSent time.Duration
+	nextProbe time.Duration
+	giveUp    bool
+
+	halt     bool
+	haltSave bool
+	haltWhy  string
+	haltedAt time.Duration // last time that a stop was sent
+
+	placedAt  time.Duration
+	runningAt time.Duration
+}
+
+type job struct {
+	id      string
+	spec    wire.Job
+	stamp   uint64
+	created time.Duration // Mono; may be negative
+	service bool
+	rank    int
+
+	cancelled bool
+	archived  bool         // its live record is gone: it has ended
+	done      store.Bitmap // known to be done
+	saved     store.Bitmap // durably done
+	nDone     int
+	nSaved    int
+	dirtyAt   time.Duration
+	writing   bool
+	blocked   time.Duration  // no write until then
+	chunks    map[int]uint64 // stamps of further bitmap chunks
+
+	active   map[int][]*attempt
+	returned []int // indices given back by ended attempts
+	cursor   int   // indices below it have been handed out at least once
+	nActive  int   // distinct indices with attempts
+	running  int
+
+	failures int
+	failedOn map[string]bool
+	retryAt  time.Duration
+	why      string // why it waits, for people
+
+	within bool    // inside its team's guarantee, as of the last round
+	slack  float64 // seconds, as of the last round
+}
+
+func (j *job) pending() int {
+	if j.cancelled || j.archived {
+		return 0
+	}
+	return j.spec.Tasks - j.nDone - j.nActive
+}
+
+// Failure is an ended attempt, kept for people to ask about.
+type Failure struct {
+	Task    string `cbor:"task" json:"task"`
+	Attempt uint64 `cbor:"attempt" json:"attempt"`
+	Machine string `cbor:"machine" json:"machine"`
+	Cause   string `cbor:"cause" json:"cause"`
+	At      int64  `cbor:"at_ms" json:"at_ms"`
+}
+
+// Counters are the leader's running totals.
+type Counters struct {
+	ProbeRetry, ProbeGiveUp, Retried uint64
+	Started, Finished, Preempted     uint64
+	Rented, Returned                 uint64
+}
+
+// Leader is the state of a leader during one term.
+type Leader struct {
+	cfg   Settings
+	term  uint64
+	now   Now
+	out   Effects
+	count Counters
+
+	machines map[string]*machine
+	jobs     map[string]*job
+	types    map[string]*wire.MachineType
+	usage    map[string]*Team // in use by team, in CPUs and GPUs
+
+	// AckLatency receives the time from a start to its acknowledgement.
+	AckLatency func(time.Duration)
+
+	failures []Failure
+
+	nextID   uint64
+	nextTry  uint64
+	nextHire uint64
+	commits  map[uint64]*commitState
+	calls    map[uint64]*callState
+	rentals  map[string]*rentalState
+	noCap    map[offer]time.Duration
+
+	budget   float64
+	budgetAt time.Duration
+	holdOff  time.Duration // no writes until then: the state service refused
+
+	dirtyPlace bool
+	placedAt   time.Duration
+	listed     bool // the cloud's list was read in this term
+	heardAny   time.Duration
+	startedAt  time.Duration
+	tombs      []string        // machine records to delete
+	gone       map[string]bool // given back in this term; names are never used again
+	relRetry   time.Duration
+}
+
+type commitState struct {
+	machines []*machine
+	recorded [][]*attempt
+	jobs     []jobWrite
+	deleted  []string // machine records deleted
+}
+
+type jobWrite struct {
+	j       *job
+	ended   bool
+	chunks  []int
+	saved   store.Bitmap
+	touched bool // the job's own key was written
+}
+
+type callState struct {
+	m     *machine
+	fence uint64
+	runs  []*attempt
+}
+
+type offer struct {
+	typ, zone string
+	spot      bool
+}
+
+type rentalState struct {
+	offer offer
+	count int
+	at    time.Duration
+}
+
+// NewLeader starts a term. machines are the records under store.MachinePrefix.
+func NewLeader(now Now, cfg Settings, term uint64, rep *Replica, bits []wire.Item, machines []wire.Item, types []wire.MachineType) *Leader {
+	l := &Leader{
+		cfg: cfg, term: term, now: now,
+		machines: map[string]*machine{}, jobs: map[string]*job{},
+		types: map[string]*wire.MachineType{}, usage: map[string]*Team{},
+		commits: map[uint64]*commitState{}, calls: map[uint64]*callState{},
+		rentals: map[string]*rentalState{}, noCap: map[offer]time.Duration{},
+		gone:   map[string]bool{},
+		budget: cfg.WriteRate, budgetAt: now.Mono,
+		heardAny: now.Mono, startedAt: now.Mono, dirtyPlace: true, placedAt: now.Mono - time.Second,
+	}
+	l.SetTypes(now, types)
+	for _, lj := range rep.Live {
+		l.addJob(lj)
+	}
+	for _, it := range bits {
+		l.addBits(it)
+	}
+	for _, it := range machines {
+		l.addRecord(it)
+	}
+	l.line(false, "recovered", "jobs", len(l.jobs), "machines", len(l.machines))
+	for _, m := range l.sorted() {
+		l.poke(m)
+	}
+	return l
+}
+
+// Token is the token to use with a machine: our term above, its fence below.
+func (l *Leader) token(m *machine) uint64 { return l.term<<tuning.FenceBits | m.fence }
+
+// Term of a token.
+func Term(token uint64) uint64 { return token >> tuning.FenceBits }
+
+func (l *Leader) line(debug bool, msg string, args ...any) {
+	l.out.Log = append(l.out.Log, Line{debug, msg, args})
+}
+
+// Take returns the effects gathered since the last call.
+func (l *Leader) Take() Effects {
+	e := l.out
+	l.out = Effects{}
+	return e
+}
+
+func (l *Leader) addJob(lj *LiveJob) *job {
+	rec := lj.Record
+	j := &job{
+		id: rec.Job.ID, spec: rec.Job, stamp: lj.Stamp,
+		service: rec.Job.Service(), rank: wire.RankOrder(rec.Job.Rank),
+		cancelled: rec.Cancelled,
+		done:      store.NewBitmap(rec.Job.Tasks), saved: store.NewBitmap(rec.Job.Tasks),
+		active: map[int][]*attempt{}, chunks: map[int]uint64{}, failedOn: map[string]bool{},
+	}
+	// The job's age by the time of day, moved onto our steady clock.
+	j.created = l.now.Mono - time.Duration(max(0, l.now.Wall-rec.Job.CreatedMilli))*time.Millisecond
+	l.mergeDone(j, 0, rec.Done)
+	l.jobs[j.id] = j
+	return j
+}
+
+func (l *Leader) mergeDone(j *job, chunk int, s string) {
+	if s == "" {
+		return
+	}
+	if err := j.saved.Merge(chunk, s); err != nil {
+		l.line(false, "job record has a bad bitmap", "job", j.id, "err", err.Error())
+		return
+	}
+	_ = j.done.Merge(chunk, s) // as long as saved, which took it
+	j.nDone, j.nSaved = j.done.Count(), j.saved.Count()
+}
+
+func (l *Leader) addBits(it wire.Item) {
+	var rec store.BitsRecord
+	id, chunk, ok := wire.SplitTask(store.IDOf(store.BitsPrefix, it.Key))
+	if !ok || wire.Unmarshal(it.Value, &rec) != nil {
+		return
+	}
+	if j := l.jobs[id]; j != nil {
+		j.chunks[chunk] = it.Stamp
+		l.mergeDone(j, chunk, rec.Done)
+	}
+}
+
+// addRecord takes over a machine from its record. What is recorded there may
+// run there, or may yet be started by a command of an earlier leader, so it
+// stays until the worker reports under our token.
+func (l *Leader) addRecord(it wire.Item) {
+	var rec store.MachineRecord
+	name := store.IDOf(store.MachinePrefix, it.Key)
+	if err := wire.Unmarshal(it.Value, &rec); err != nil {
+		l.line(false, "machine record unreadable", "machine", name, "err", err.Error())
+		return
+	}
+	m := l.addMachine(name, rec.Type, rec.Zone, rec.Spot, rec.Address)
+	m.phase, m.upAt = up, l.now.Mono
+	m.stamp = it.Stamp
+	for _, im := range rec.Images {
+		m.images = append(m.images, image{name: im})
+	}
+	for id, list := range rec.Tasks {
+		for _, a := range list {
+			ref := taskRef{id, a.Index}
+			if j := l.jobs[id]; j != nil && (a.Index >= j.spec.Tasks || j.done.Has(a.Index)) {
+				continue
+			}
+			at := &attempt{ref: ref, job: l.jobs[id], m: m, number: a.Attempt, recorded: true, sent: true, placedAt: l.now.Mono}
+			l.attach(at)
+		}
+	}
+}
+
+func (l *Leader) addMachine(name, typ, zone string, spot bool, addr string) *machine {
+	m := &machine{
+		name: name, typ: typ, zone: zone, spot: spot, addr: addr, mt: l.types[typ],
+		rentedAt: l.now.Mono, heardAt: l.now.Mono, idleSince: l.now.Mono, listedAt: l.now.Mono,
+		tasks: map[taskRef]*attempt{}, exited: map[taskRef]exit{}, failedBy: map[string]bool{},
+	}
+	l.machines[name] = m
+	return m
+}
+
+// attach enters an attempt everywhere that counts it.
+func (l *Leader) attach(a *attempt) {
+	a.m.tasks[a.ref] = a
+	if a.job == nil {
+		return
+	}
+	j := a.job
+	if len(j.active[a.ref.index]) == 0 {
+		j.nActive++
+	}
+	j.active[a.ref.index] = append(j.active[a.ref.index], a)
+	a.m.cpus += j.spec.CPUs
+	a.m.gpus += j.spec.GPUs
+	a.m.mem += j.spec.MemoryGB
+	u := l.use(j.spec.Team)
+	u.CPUs += j.spec.CPUs
+	u.GPUs += j.spec.GPUs
+}
+
+func (l *Leader) use(team string) *Team {
+	u := l.usage[team]
+	if u == nil {
+		u = &Team{}
+		l.usage[team] = u
+	}
+	return u
+}
+
+// detach removes an attempt that is proven gone.
+func (l *Leader) detach(a *attempt) {
+	m := a.m
+	if m.tasks[a.ref] != a {
+		return
+	}
+	delete(m.tasks, a.ref)
+	if len(m.tasks) == 0 {
+		m.idleSince = l.now.Mono
+		m.cpus, m.gpus, m.mem = 0, 0, 0 // sheds rounding
+	}
+	if a.recorded {
+		l.touch(m, false)
+	}
+	l.dirtyPlace = true
+	j := a.job
+	if j == nil {
+		return
+	}
+	if a.state == wire.TaskRunning {
+		j.running--
+	}
+	if len(m.tasks) > 0 {
+		m.cpus -= j.spec.CPUs
+		m.gpus -= j.spec.GPUs
+		m.mem -= j.spec.MemoryGB
+	}
+	u := l.use(j.spec.Team)
+	u.CPUs -= j.spec.CPUs
+	u.GPUs -= j.spec.GPUs
+	list := j.active[a.ref.index]
+	for i, x := range list {
+		if x == a {
+			list = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) > 0 {
+		j.active[a.ref.index] = list
+		return
+	}
+	delete(j.active, a.ref.index)
+	j.nActive--
+	if j.archived && j.nActive == 0 {
+		delete(l.jobs, j.id)
+	}
+	if !j.done.Has(a.ref.index) {
+		j.returned = append(j.returned, a.ref.index)
+	}
+}
+
+// touch marks a machine's record as out of date. Urgent: a start waits for it.
+func (l *Leader) touch(m *machine, urgent bool) {
+	if !m.dirty {
+		m.dirty, m.dirtyAt = true, l.now.Mono
+	}
+	m.urgent = m.urgent || urgent
+}
+
+// nextFree takes an index of the job that neither is done nor has an attempt.
+func (j *job) nextFree() (int, bool) {
+	for len(j.returned) > 0 {
+		i := j.returned[len(j.returned)-1]
+		j.returned = j.returned[:len(j.returned)-1]
+		if !j.done.Has(i) && len(j.active[i]) == 0 {
+			return i, true
+		}
+	}
+	for j.cursor < j.spec.Tasks {
+		i := j.cursor
+		j.cursor++
+		if !j.done.Has(i) && len(j.active[i]) == 0 {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+func (l *Leader) sorted() []*machine {
+	ms := make([]*machine, 0, len(l.machines))
+	for _, m := range l.machines {
+		ms = append(ms, m)
+	}
+	sort.Slice(ms, func(a, b int) bool { return ms[a].name < ms[b].name })
+	return ms
+}
+
+// JobsChanged tells the leader what a watch saw.
+func (l *Leader) JobsChanged(now Now, touched []Changed) {
+	l.now = now
+	for _, c := range touched {
+		j := l.jobs[c.ID]
+		switch {
+		case c.Live == nil && j != nil:
+			l.dropJob(j)
+		case c.Live != nil && j == nil:
+			j = l.addJob(c.Live)
+			l.dirtyPlace = true
+			l.line(true, "job seen", "job", j.id, "class", j.spec.Class, "tasks", j.spec.Tasks)
+		case c.Live != nil && c.Live.Stamp > j.stamp:
+			j.stamp = c.Live.Stamp
+			l.mergeDone(j, 0, c.Live.Record.Done)
+			if c.Live.Record.Cancelled && !j.cancelled {
+				l.cancelJob(j)
+			}
+		}
+	}
+}
+
+// JobsReset tells the leader that the replica was read anew.
+func (l *Leader) JobsReset(now Now, rep *Replica) {
+	var touched []Changed
+	for id := range l.jobs {
+		if rep.Live[id] == nil {
+			touched = append(touched, Changed{id, nil})
+		}
+	}
+	for id, lj := range rep.Live {
+		touched = append(touched, Changed{id, lj})
+	}
+	sort.Slice(touched, func(a, b int) bool { return touched[a].ID < touched[b].ID })
+	l.JobsChanged(now, touched)
+}
+
+func (l *Leader) cancelJob(j *job) {
+	j.cancelled = true
+	l.dirtyPlace = true
+	l.line(false, "job cancelled", "job", j.id, "tasks", j.nActive)
+	for _, a := range j.attempts() {
+		l.stop(a, false, "cancelled")
+	}
+	l.finish(j)
+}
+
+func (j *job) attempts() []*attempt {
+	var out []*attempt
+	for _, list := range j.active {
+		out = append(out, list...)
+	}
+	sort.Slice(out, func(a, b int) bool {
+		if out[a].ref.index != out[b].ref.index {
+			return out[a].ref.index < out[b].ref.index
+		}
+		return out[a].number < out[b].number
+	})
+	return out
+}
+
+// dropJob takes note that a job's live record is gone: it has ended. Attempts
+// that are still about are stopped, and count against their machine and team
+// until they are proven gone.
+func (l *Leader) dropJob(j *job) {
+	j.archived = true
+	for _, a := range j.attempts() {
+		l.stop(a, false, "the job is over")
+	}
+	if j.nActive == 0 {
+		delete(l.jobs, j.id)
+	}
+}
+
+// finish marks a job as due for its last write once nothing of it is left.
+func (l *Leader) finish(j *job) {
+	if j.nDone == j.spec.Tasks || j.cancelled && j.nActive == 0 {
+		if j.dirtyAt == 0 {
+			j.dirtyAt = l.now.Mono
+		}
+	}
+}
+
+// stop asks for an attempt's end and sends that at once. An attempt that was
+// never sent simply ends.
+func (l *Leader) stop(a *attempt, save bool, why string) {
+	if !a.halt {
+		a.haltWhy = why
+		l.line(true, "stop", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", a.m.name, "why", why)
+	}
+	if a.halt && (save || !a.haltSave) {
+		return
+	}
+	a.halt, a.haltSave, a.haltedAt = true, save, 0
+	if !a.sent {
+		l.detach(a)
+		return
+	}
+	if !a.seen {
+		// The start may still be on its way: only a report under a higher token
+		// will show that it is not.
+		l.raise(a.m)
+		a.needFence = a.m.fence
+	}
+	l.push(a.m)
+}
+
+// raise takes a higher token for a machine, so that commands sent to it under
+// the present one are refused once it has seen the new one.
+func (l *Leader) raise(m *machine) {
+	m.fence++
+	m.directUsed = false
+}
+
+func (m *machine) extra(c wire.Command) { m.extras = append(m.extras, c) }
+
+func sortAttempts(list []*attempt) {
+	sort.Slice(list, func(a, b int) bool {
+		x, y := list[a], list[b]
+		if x.ref.job != y.ref.job {
+			return x.ref.job < y.ref.job
+		}
+		if x.ref.index != y.ref.index {
+			return x.ref.index < y.ref.index
+		}
+		return x.number < y.number
+	})
+}
+
+func sortCommands(list []wire.Command) {
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].Task != list[b].Task {
+			return list[a].Task < list[b].Task
+		}
+		return list[a].Attempt < list[b].Attempt
+	})
+}
--- /dev/null
+++ b/internal/node/election.go
@@ -0,0 +1,282 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/config"
+	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// campaign watches the leader's key and takes it when it is free. The key hangs
+// on a short lease; its stamp is the term, which only grows.
+func (n *Node) campaign(ctx context.Context) {
+	for ctx.Err() == nil {
+		it, err := n.state.Get(ctx, store.First, store.LeaderKey)
+		if err != nil {
+			sleep(ctx, jitter(tuning.StateRetry))
+			continue
+		}
+		if it.Stamp != 0 {
+			var rec store.LeaderRecord
+			if err := wire.Unmarshal(it.Value, &rec); err != nil {
+				n.log.Error("leader's record unreadable", "err", err)
+			}
+			if rec.Node == n.cfg.Node && rec.Boot != n.boot && it.Permit != 0 {
+				// Left by our own predecessor, which is dead: only one process
+				// runs under a node's name. Ending its lease spares the wait.
+				n.log.Info("ending the lease of this node's previous run")
+				_ = n.state.Revoke(ctx, it.Permit)
+				continue
+			}
+			n.do(func() {
+				if it.Stamp >= n.lead.term {
+					n.setLead(rec.Node, it.Stamp)
+				}
+			})
+			n.awaitVacancy(ctx, it.Stamp)
+			continue
+		}
+		n.mu.Lock()
+		wait := time.Until(n.barred)
+		if n.leader == nil {
+			n.lead.name = ""
+		}
+		n.mu.Unlock()
+		if wait > 0 {
+			sleep(ctx, min(wait, tuning.CampaignWait))
+			continue
+		}
+		if !n.runForLead(ctx) {
+			sleep(ctx, jitter(tuning.CampaignWait))
+		}
+	}
+}
+
+// awaitVacancy returns when the leader's key may have changed after stamp.
+func (n *Node) awaitVacancy(ctx context.Context, stamp uint64) {
+	c, err := n.state.Changes(ctx, store.First, store.LeaderPrefix, stamp, tuning.WatchBlock)
+	if errors.Is(err, store.ErrTooOld) || err != nil {
+		// The key is old compared with what the service keeps, or the service
+		// is in trouble. Reading the key again is right in both cases.
+		sleep(ctx, jitter(tuning.LeaseTTL/2))
+		return
+	}
+	_ = c
+}
+
+// runForLead tries to take the free key, and leads until the lead is lost.
+func (n *Node) runForLead(ctx context.Context) bool {
+	asked := time.Now()
+	permit, err := n.state.Grant(ctx, tuning.LeaseTTL)
+	if err != nil {
+		n.log.Debug("lease", "err", err)
+		return false
+	}
+	rec := store.LeaderRecord{Node: n.cfg.Node, Addr: n.cfg.MeshAddr, Boot: n.boot}
+	term, _, err := n.state.Commit(ctx, store.First, wire.Txn{
+		If:    []wire.Condition{{Key: store.LeaderKey}},
+		Apply: []wire.Change{{Set: store.LeaderKey, Value: rec, Permit: &permit}},
+	})
+	if errors.Is(err, store.ErrUnknown) {
+		// The answer was lost: the key tells whether we have it. Should the
+		// write be carried out later still, the lease lets it die.
+		it, gerr := n.state.Get(ctx, store.First, store.LeaderKey)
+		var have store.LeaderRecord
+		if gerr == nil && it.Stamp != 0 && it.Permit == permit && wire.Unmarshal(it.Value, &have) == nil && have.Boot == n.boot {
+			term, err = it.Stamp, nil
+		}
+	}
+	if err != nil {
+		_ = n.state.Revoke(ctx, permit)
+		return false
+	}
+	n.serveTerm(ctx, permit, term, asked)
+	return true
+}
+
+// serveTerm recovers the records and leads until the lead is lost.
+func (n *Node) serveTerm(ctx context.Context, permit, term uint64, asked time.Time) {
+	n.log.Info("elected", "term", term, "took_ms", time.Since(asked).Milliseconds())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	lost := make(chan struct{})
+	n.mu.Lock()
+	n.permit = permit
+	n.setLead(n.cfg.Node, term)
+	n.mu.Unlock()
+
+	renewed := make(chan struct{})
+	go func() {
+		defer close(renewed)
+		n.renew(ctx, permit, lost)
+	}()
+	leader := n.recover(ctx, term, lost)
+	if leader != nil {
+		n.log.Info("leading", "term", term, "after_ms", time.Since(asked).Milliseconds())
+		go n.listMachines(ctx, leader)
+		go n.watchJobs(ctx, leader)
+		select {
+		case <-lost:
+		case <-ctx.Done():
+		}
+		n.do(func() {
+			if n.leader == leader {
+				n.log.Info("lead lost", "term", term)
+				n.endTerm()
+				n.lead.name = ""
+			}
+		})
+	}
+	cancel()
+	<-renewed
+	rctx, done := context.WithTimeout(context.Background(), tuning.StateTimeout)
+	defer done()
+	_ = n.state.Revoke(rctx, permit)
+}
+
+// renew keeps the lease until it is lost. That the service refuses us for a
+// while is no proof of that: in an outage the lease keeps its full time.
+func (n *Node) renew(ctx context.Context, permit uint64, lost chan struct{}) {
+	for sleep(ctx, tuning.RenewEvery) {
+		select {
+		case <-lost:
+			return
+		default:
+		}
+		err := n.state.Renew(ctx, permit)
+		if errors.Is(err, store.ErrNoLease) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			select {
+			case <-lost:
+			default:
+				if n.leader != nil {
+					n.log.Info("lead lost: the lease has ended", "term", n.lead.term)
+					n.endTerm()
+					n.lead.name = ""
+				} else {
+					close(lost)
+				}
+			}
+			return
+		}
+		if err != nil {
+			n.log.Debug("renewal", "err", err)
+		}
+	}
+}
+
+// recover reads all records and installs the leader, or returns nil.
+func (n *Node) recover(ctx context.Context, term uint64, lost chan struct{}) *core.Leader {
+	for {
+		select {
+		case <-lost:
+			return nil
+		case <-ctx.Done():
+			return nil
+		default:
+		}
+		bits, _, err1 := n.state.All(ctx, store.First, store.BitsPrefix)
+		machines, _, err2 := n.state.All(ctx, store.First, store.MachinePrefix)
+		jobs, epoch, err3 := n.state.All(ctx, store.First, store.JobPrefix)
+		err := errors.Join(err1, err2, err3)
+		if err != nil {
+			n.log.Debug("recovery", "err", err)
+			if !sleep(ctx, tuning.StateRetry) {
+				return nil
+			}
+			continue
+		}
+		var leader *core.Leader
+		n.do(func() {
+			select {
+			case <-lost:
+				return
+			default:
+			}
+			if n.lead.term > term {
+				return // somebody leads after us already
+			}
+			if epoch >= n.replica.Epoch {
+				n.reportBad(n.replica.Reset(jobs, epoch))
+			}
+			leader = core.NewLeader(n.now(), n.coreSettings(), term, n.replica, bits, machines, n.types)
+			leader.AckLatency = func(d time.Duration) { _ = n.ack.RecordValue(min(max(1, d.Milliseconds()), 600_000)) }
+			n.leader, n.lost = leader, lost
+		})
+		return leader
+	}
+}
+
+func (n *Node) reportBad(keys []string) {
+	for _, k := range keys {
+		n.log.Error("job record unreadable", "key", k)
+	}
+}
+
+func (n *Node) coreSettings() core.Settings {
+	d := &n.cfg.Deployment
+	s := core.Settings{
+		Teams: map[string]core.Team{}, Zones: d.Zones,
+		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
+		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
+		Thrifty: n.cfg.Thrifty(), Policy: n.policy,
+	}
+	for _, t := range d.Teams {
+		s.Teams[t.Name] = core.Team{CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax}
+	}
+	return s
+}
+
+// watchJobs keeps the leader's picture of the jobs fresh.
+func (n *Node) watchJobs(ctx context.Context, l *core.Leader) {
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		from := n.replica.Epoch
+		n.mu.Unlock()
+		c, err := n.state.Changes(ctx, store.First, store.JobsPrefix, from, tuning.WatchBlock)
+		switch {
+		case errors.Is(err, store.ErrTooOld):
+			n.reload(ctx)
+		case err != nil:
+			n.log.Debug("watch", "err", err)
+			sleep(ctx, jitter(tuning.StateRetry))
+		default:
+			n.applyChanges(c)
+			sleep(ctx, tuning.WatchGap)
+		}
+	}
+}
+
+func (n *Node) applyChanges(c wire.Changes) {
+	n.do(func() {
+		touched, bad := n.replica.Apply(c)
+		n.reportBad(bad)
+		if n.leader != nil && len(touched) > 0 {
+			n.leader.JobsChanged(n.now(), touched)
+		}
+	})
+}
+
+// reload reads all live jobs again.
+func (n *Node) reload(ctx context.Context) error {
+	items, epoch, err := n.state.All(ctx, store.Second, store.JobPrefix)
+	if err != nil {
+		return err
+	}
+	n.do(func() {
+		if epoch < n.replica.Epoch {
+			return
+		}
+		n.reportBad(n.replica.Reset(items, epoch))
+		if n.leader != nil {
+			n.leader.JobsReset(n.now(), n.replica)
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,439 @@
+// Package node runs a controller: it feeds the core's state machine with what
+// the network brings and carries out what the core decides.
+//
+// All state is guarded by one lock, taken for each input (do). I/O happens in
+// goroutines that hold no lock and come back with an input.
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/yarrowgap/yarrowgap/internal/cloud"
+	"github.com/yarrowgap/yarrowgap/internal/config"
+	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/mesh"
+	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/internal/worker"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// Node is one controller.
+type Node struct {
+	cfg    *config.Settings
+	policy policy.Settings
+	log    *slog.Logger
+	boot   uint64 // tells this process from its predecessors
+	start  time.Time
+
+	state   *store.Client
+	cloud   *cloud.Client
+	workers *worker.Client
+	mesh    *mesh.Client
+
+	mu       sync.Mutex
+	replica  *core.Replica
+	types    []wire.MachineType
+	leader   *core.Leader // nil unless this node leads
+	permit   uint64       // the lease of our lead
+	lost     chan struct{}
+	lead     leadInfo
+	barred   time.Time // no candidate until then
+	peers    map[string]*peer
+	kept     map[string]*kept // workers kept alive without the leader
+	settling bool
+	totals   core.Counters // of earlier terms
+	ack      *hdrhistogram.Histogram
+	answers  *hdrhistogram.Histogram
+
+	syncMu sync.Mutex
+	syncAt time.Time
+	next   *syncCall
+	active bool
+
+	submissions, decisions chan struct{}
+	released               chan struct{} // bounds concurrent cloud calls
+}
+
+// leadInfo is what this node knows of the lead.
+type leadInfo struct {
+	name string // empty: nobody leads, as far as is known
+	addr string
+	term uint64 // highest term known, of name or of an earlier leader
+}
+
+type peer struct {
+	config.Peer
+	heard   time.Time
+	running map[string]int
+}
+
+// New makes a node. Run starts it.
+func New(cfg *config.Settings, pol policy.Settings, log *slog.Logger) *Node {
+	n := &Node{
+		cfg: cfg, policy: pol, log: log, boot: rand.Uint64() >> 1, start: time.Now(),
+		state:       store.New(cfg.Outside.State, cfg.Deployment.State.RPS*tuning.ReadShare),
+		cloud:       cloud.New(cfg.Outside.Cloud),
+		workers:     worker.New(),
+		mesh:        mesh.New(),
+		replica:     core.NewReplica(),
+		peers:       map[string]*peer{},
+		kept:        map[string]*kept{},
+		ack:         hdrhistogram.New(1, 600_000, 2),
+		answers:     hdrhistogram.New(1, 600_000, 2),
+		submissions: make(chan struct{}, tuning.SubmissionsInFlight),
+		decisions:   make(chan struct{}, tuning.DecisionsInFlight),
+	}
+	for _, p := range cfg.Peers {
+		n.peers[p.Name] = &peer{Peer: p}
+	}
+	return n
+}
+
+// Run works until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){n.campaign, n.learnTypes, n.pingPeers, n.follow, n.ticker} {
+		wg.Add(1)
+		go func() { defer wg.Done(); f(ctx) }()
+	}
+	wg.Wait()
+}
+
+func (n *Node) now() core.Now {
+	t := time.Now()
+	return core.Now{Mono: t.Sub(n.start), Wall: t.UnixMilli()}
+}
+
+// do runs one input under the lock and carries out what came of it.
+func (n *Node) do(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+	n.settle()
+}
+
+// withLeader feeds the leader of the given term, if it still leads.
+func (n *Node) withLeader(l *core.Leader, f func(core.Now)) {
+	n.do(func() {
+		if n.leader == l {
+			f(n.now())
+		}
+	})
+}
+
+// settle lets the leader act on what changed. Placement keeps its own pace; if
+// it has to wait, settle comes again.
+func (n *Node) settle() {
+	l := n.leader
+	if l == nil {
+		return
+	}
+	l.Settle(n.now())
+	n.carryOut(l, l.Take())
+	if n.leader == l && l.Unsettled() && !n.settling {
+		n.settling = true
+		time.AfterFunc(tuning.PlaceGap, func() { n.do(func() { n.settling = false }) })
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Int64N(int64(d)))
+}
+
+// ticker drives the leader's housekeeping.
+func (n *Node) ticker(ctx context.Context) {
+	for sleep(ctx, tuning.TickEvery) {
+		n.do(func() {
+			if n.leader != nil {
+				n.leader.Tick(n.now())
+			}
+		})
+	}
+}
+
+// carryOut starts the I/O that the core asked for.
+func (n *Node) carryOut(l *core.Leader, e core.Effects) {
+	for _, line := range e.Log {
+		level := slog.LevelInfo
+		if line.Debug {
+			level = slog.LevelDebug
+		}
+		n.log.Log(context.Background(), level, line.Msg, line.Args...)
+	}
+	for _, c := range e.Commits {
+		go n.commit(l, c)
+	}
+	for _, c := range e.Direct {
+		go n.direct(l, c)
+	}
+	for _, name := range e.Reads {
+		go n.readRecord(l, name)
+	}
+	for _, r := range e.Rent {
+		go n.rent(l, r.Request)
+	}
+	for _, names := range e.Release {
+		go n.release(l, names)
+	}
+	if e.Resign != "" {
+		n.stepDown(l, e.Resign)
+	}
+}
+
+func (n *Node) commit(l *core.Leader, c core.Commit) {
+	rev, failed, err := n.state.Commit(context.Background(), store.First, c.Txn)
+	res := core.CommitUnknown
+	switch {
+	case err == nil:
+		res = core.CommitDone
+	case errors.Is(err, store.ErrConflict):
+		res = core.CommitConflict
+	case errors.Is(err, store.ErrRefused), errors.Is(err, store.ErrLimited):
+		res = core.CommitRefused
+	}
+	if err != nil {
+		n.log.Debug("commit", "err", err, "failed", failed)
+	}
+	if errors.Is(err, store.ErrMalformed) {
+		n.log.Error("the state service calls our write malformed", "err", err)
+	}
+	n.withLeader(l, func(now core.Now) { l.CommitDone(now, c.ID, res, rev, failed) })
+}
+
+func (n *Node) direct(l *core.Leader, c core.DirectCall) {
+	out, rep, err := n.workers.Commands(context.Background(), c.Addr, c.Body)
+	if err != nil {
+		n.log.Debug("direct call", "machine", c.Machine, "err", err)
+	}
+	res := core.CallLost
+	switch out {
+	case worker.Executed:
+		res = core.CallExecuted
+	case worker.Refused:
+		res = core.CallRefused
+	}
+	n.withLeader(l, func(now core.Now) { l.CallDone(now, c.ID, res, rep) })
+}
+
+func (n *Node) readRecord(l *core.Leader, name string) {
+	it, err := n.state.Get(context.Background(), store.First, store.MachineKey(name))
+	if err != nil {
+		time.Sleep(tuning.StateRetry)
+	}
+	n.withLeader(l, func(now core.Now) { l.RecordRead(now, name, it.Stamp, err == nil) })
+}
+
+func (n *Node) rent(l *core.Leader, r wire.RentRequest) {
+	names, err := n.cloud.Rent(context.Background(), r)
+	res := core.RentUnknown
+	switch {
+	case err == nil:
+		res = core.RentDone
+	case errors.Is(err, cloud.ErrCapacity):
+		res = core.RentNone
+	case errors.Is(err, cloud.ErrTrouble), errors.Is(err, cloud.ErrLimited), errors.Is(err, cloud.ErrRefused):
+		res = core.RentRefused
+	}
+	n.withLeader(l, func(now core.Now) { l.Rented(now, r.Name, res, names) })
+}
+
+func (n *Node) release(l *core.Leader, names []string) {
+	err := n.cloud.Release(context.Background(), names)
+	res := core.ReleaseUnknown
+	switch {
+	case err == nil:
+		res = core.ReleaseDone
+	case errors.Is(err, cloud.ErrTrouble), errors.Is(err, cloud.ErrLimited):
+		res = core.ReleaseRefused
+	}
+	if err != nil {
+		n.log.Info("release failed", "machines", names, "err", err)
+	}
+	n.withLeader(l, func(now core.Now) { l.Released(now, names, res) })
+}
+
+// stepDown gives up the lead. The lease is ended, so that the others need not
+// wait for it to run out.
+func (n *Node) stepDown(l *core.Leader, why string) {
+	if n.leader != l {
+		return
+	}
+	n.log.Info("lead given up", "term", n.lead.term, "why", why)
+	n.endTerm()
+	n.lead.name = ""
+	n.barred = time.Now().Add(tuning.ResignPause)
+}
+
+func (n *Node) endTerm() {
+	c := n.leader.Counters()
+	addCounters(&n.totals, c)
+	n.leader = nil
+	close(n.lost)
+}
+
+func addCounters(to *core.Counters, c core.Counters) {
+	a, b := reflect.ValueOf(to).Elem(), reflect.ValueOf(c)
+	for i := range a.NumField() {
+		a.Field(i).SetUint(a.Field(i).Uint() + b.Field(i).Uint())
+	}
+}
+
+// listMachines reads the cloud's list while this node leads.
+func (n *Node) listMachines(ctx context.Context, l *core.Leader) {
+	wait := time.Duration(0)
+	for sleep(ctx, wait) {
+		list, err := n.cloud.List(ctx)
+		if err != nil {
+			wait = min(max(wait, tuning.CloudRetry)*2, tuning.CloudRetryMax)
+			n.log.Debug("machine list", "err", err)
+			continue
+		}
+		wait = tuning.ListEvery
+		n.withLeader(l, func(now core.Now) { l.Listed(now, list) })
+	}
+}
+
+// learnTypes keeps the machine types: from the cloud, or, while that is down,
+// from the state service.
+func (n *Node) learnTypes(ctx context.Context) {
+	wait := time.Duration(0)
+	var stored []wire.MachineType
+	for sleep(ctx, jitter(wait+time.Millisecond)) {
+		types, err := n.cloud.Types(ctx)
+		if err != nil {
+			n.log.Debug("machine types", "err", err)
+			wait = min(max(wait, tuning.CloudRetry)*2, tuning.CloudRetryMax)
+			n.mu.Lock()
+			have := len(n.types) > 0
+			n.mu.Unlock()
+			if have {
+				continue
+			}
+			it, err := n.state.Get(ctx, store.Second, store.TypesKey)
+			var tl wire.TypeList
+			if err != nil || it.Stamp == 0 || wire.Unmarshal(it.Value, &tl) != nil {
+				continue
+			}
+			types, stored = tl.Types, tl.Types
+		} else {
+			wait = tuning.TypesEvery
+		}
+		lead := false
+		n.do(func() {
+			n.types = types
+			lead = n.leader != nil
+			if lead {
+				n.leader.SetTypes(n.now(), types)
+			}
+		})
+		if lead && !sameTypes(stored, types) {
+			_, _, err := n.state.Commit(ctx, store.Third, wire.Txn{Apply: []wire.Change{{Set: store.TypesKey, Value: wire.TypeList{Types: types}}}})
+			if err == nil {
+				stored = types
+			} else {
+				wait = tuning.CloudRetryMax
+			}
+		} else if !lead && len(stored) == 0 {
+			wait = min(wait, tuning.CloudRetryMax)
+		}
+	}
+}
+
+// sameTypes compares all but prices, which move.
+func sameTypes(a, b []wire.MachineType) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		x.Price, x.SpotCost, y.Price, y.SpotCost = 0, 0, 0, 0
+		if !reflect.DeepEqual(x, y) {
+			return false
+		}
+	}
+	return true
+}
+
+// pingPeers keeps up with the other nodes.
+func (n *Node) pingPeers(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, p := range n.peers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for sleep(ctx, jitter(tuning.PeerEvery)) {
+				n.mu.Lock()
+				ping := mesh.Ping{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term}
+				n.mu.Unlock()
+				pong, err := n.mesh.Ping(ctx, p.Addr, ping)
+				if err != nil {
+					continue
+				}
+				n.do(func() {
+					p.heard = time.Now()
+					p.running = pong.Running
+					n.hearLead(pong.Leader, pong.Term)
+				})
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// hearLead takes a peer's word on who leads, if it is newer than ours.
+func (n *Node) hearLead(name string, term uint64) {
+	if term <= n.lead.term || name == "" {
+		return
+	}
+	if n.leader != nil {
+		n.stepDown(n.leader, "a peer knows a later leader")
+	}
+	n.setLead(name, term)
+}
+
+func (n *Node) setLead(name string, term uint64) {
+	if n.lead.name != name || n.lead.term != term {
+		n.log.Info("leader is", "node", name, "term", term)
+	}
+	n.lead = leadInfo{name: name, term: term}
+	if p := n.peers[name]; p != nil {
+		n.lead.addr = p.Addr
+	}
+}
+
+// Ping answers a peer.
+func (n *Node) Ping(p mesh.Ping) mesh.Pong {
+	var out mesh.Pong
+	n.do(func() {
+		if q := n.peers[p.Node]; q != nil {
+			q.heard = time.Now()
+		}
+		n.hearLead(p.Leader, p.Term)
+		out = mesh.Pong{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term}
+		if n.leader != nil {
+			out.Running = n.leader.Running()
+		}
+	})
+	return out
+}
--- /dev/null
+++ b/internal/node/users.go
@@ -0,0 +1,422 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/mesh"
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// Answer is what a user is told. A status of 503 or 429 carries Retry-After.
+type Answer struct {
+	Status int
+	View   *wire.JobView
+	State  *wire.JobState
+	Error  string
+}
+
+func refuse(status int, why string) Answer { return Answer{Status: status, Error: why} }
+
+var busy = refuse(http.StatusServiceUnavailable, "too many requests at this node")
+
+// syncCall is one read of the changes since the replica's epoch. Whoever came
+// before it was sent may rely on what it finds.
+type syncCall struct {
+	done chan struct{}
+	err  error
+}
+
+// fresh brings the replica up to a moment after the call. Concurrent callers
+// share a read, but never one that was sent before they came.
+func (n *Node) fresh(ctx context.Context) error {
+	n.syncMu.Lock()
+	c := n.next
+	if c == nil {
+		c = &syncCall{done: make(chan struct{})}
+		n.next = c
+		if !n.active {
+			n.active = true
+			go n.syncLoop()
+		}
+	}
+	n.syncMu.Unlock()
+	select {
+	case <-c.done:
+		return c.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// syncLoop serves waiting calls one after the other and ends when none waits.
+func (n *Node) syncLoop() {
+	for {
+		n.syncMu.Lock()
+		c := n.next
+		n.next = nil
+		if c == nil {
+			n.active = false
+			n.syncMu.Unlock()
+			return
+		}
+		n.syncMu.Unlock()
+		c.err = n.syncOnce()
+		close(c.done)
+		time.Sleep(tuning.SyncGap)
+	}
+}
+
+func (n *Node) syncOnce() error {
+	ctx := context.Background()
+	n.mu.Lock()
+	loaded, from := n.replica.Loaded, n.replica.Epoch
+	n.mu.Unlock()
+	if !loaded {
+		return n.reload(ctx)
+	}
+	c, err := n.state.Changes(ctx, store.Second, store.JobsPrefix, from, 0)
+	if errors.Is(err, store.ErrTooOld) {
+		return n.reload(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	n.applyChanges(c)
+	return nil
+}
+
+// follow keeps a follower's replica from falling behind what watches reach.
+func (n *Node) follow(ctx context.Context) {
+	for sleep(ctx, jitter(tuning.FollowEvery)) {
+		if n.fresh(ctx) != nil {
+			continue
+		}
+	}
+}
+
+// known tells a job's state as of a moment after the call. status 404 means
+// that it was never accepted; an error that this cannot be told now.
+func (n *Node) known(ctx context.Context, id string) (wire.JobView, bool, error) {
+	n.mu.Lock()
+	rec, ok := n.replica.Ended(id)
+	n.mu.Unlock()
+	if ok {
+		return endedView(id, rec), true, nil
+	}
+	if err := n.fresh(ctx); err != nil {
+		return wire.JobView{}, false, err
+	}
+	n.mu.Lock()
+	live := n.replica.Live[id]
+	rec, ended := n.replica.Ended(id)
+	var v wire.JobView
+	if live != nil {
+		v = n.liveView(id, live)
+	}
+	n.mu.Unlock()
+	if ended {
+		return endedView(id, rec), true, nil
+	}
+	if live != nil {
+		return v, true, nil
+	}
+	it, err := n.state.Get(ctx, store.Second, store.EndedKey(id))
+	if err != nil {
+		return wire.JobView{}, false, err
+	}
+	if it.Stamp == 0 {
+		return wire.JobView{}, false, nil
+	}
+	if err := wire.Unmarshal(it.Value, &rec); err != nil {
+		return wire.JobView{}, false, err
+	}
+	n.mu.Lock()
+	n.replica.Remember(id, rec)
+	n.mu.Unlock()
+	return endedView(id, rec), true, nil
+}
+
+func endedView(id string, rec store.EndedRecord) wire.JobView {
+	return wire.JobView{ID: id, State: rec.State, Done: rec.Done}
+}
+
+// liveView describes a live job. Called with the lock held.
+func (n *Node) liveView(id string, live *core.LiveJob) wire.JobView {
+	v := wire.JobView{ID: id, State: wire.JobPending}
+	bits := store.NewBitmap(live.Record.Job.Tasks)
+	if bits.Merge(0, live.Record.Done) == nil {
+		v.Done = bits.Count()
+	}
+	if n.leader != nil {
+		v.Running = n.leader.RunningOf(id)
+	} else if p := n.peers[n.lead.name]; p != nil {
+		v.Running = p.running[id]
+	}
+	if live.Record.Cancelled {
+		v.State, v.Running = wire.JobCancelled, 0
+	} else if v.Running > 0 {
+		v.State = wire.JobRunning
+	}
+	return v
+}
+
+// enter takes a place among the bounded requests, or says that there is none.
+func enter(slots chan struct{}) (leave func(), ok bool) {
+	select {
+	case slots <- struct{}{}:
+		return func() { <-slots }, true
+	default:
+		return nil, false
+	}
+}
+
+// Query answers GET /v2/runs/{id}.
+func (n *Node) Query(ctx context.Context, id string, forwarded bool) Answer {
+	if !wire.ValidID(id) {
+		return refuse(http.StatusNotFound, "no such job")
+	}
+	leave, ok := enter(n.decisions)
+	if !ok {
+		return busy
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(ctx, tuning.QueryPatience)
+	defer cancel()
+	v, found, err := n.known(ctx, id)
+	switch {
+	case err != nil:
+		return n.pass(forwarded, mesh.Forward{Kind: mesh.Query, ID: id}, err)
+	case !found:
+		return refuse(http.StatusNotFound, "no such job")
+	}
+	return Answer{Status: http.StatusOK, View: &v}
+}
+
+// Submit answers POST /v2/runs.
+func (n *Node) Submit(ctx context.Context, body []byte, forwarded bool) Answer {
+	leave, ok := enter(n.submissions)
+	if !ok {
+		return busy
+	}
+	defer leave()
+	begun := time.Now()
+	defer func() {
+		n.mu.Lock()
+		_ = n.answers.RecordValue(min(max(1, time.Since(begun).Milliseconds()), 600_000))
+		n.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, tuning.SubmitPatience)
+	defer cancel()
+	job, err := wire.ParseJob(body)
+	if err != nil {
+		// A known job's repeated submission is answered with its state, even
+		// if the body has changed for the worse.
+		if id := wire.IDOf(body); id != "" {
+			if v, found, kerr := n.known(ctx, id); kerr == nil && found {
+				return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: v.State}}
+			}
+		}
+		return refuse(http.StatusBadRequest, err.Error())
+	}
+	fwd := mesh.Forward{Kind: mesh.Submit, Body: mesh.Text(body)}
+	n.mu.Lock()
+	types := n.types
+	n.mu.Unlock()
+	verdict := n.judge(job, types)
+	if verdict.Status != 0 {
+		v, found, err := n.known(ctx, job.ID)
+		switch {
+		case err != nil:
+			return n.pass(forwarded, fwd, err)
+		case found:
+			return Answer{Status: http.StatusOK, State: &wire.JobState{ID: job.ID, State: v.State}}
+		case verdict.Status == http.StatusServiceUnavailable && !forwarded:
+			return n.pass(false, fwd, errors.New(verdict.Error))
+		}
+		return verdict
+	}
+	job.CreatedMilli = time.Now().UnixMilli()
+	rec := store.JobRecord{Job: *job}
+	if float64(wire.JSONSize(rec)) > n.cfg.Deployment.State.ValueKB*1024*(1-tuning.ValueSlack)-float64(tuning.BitmapTasks)/6 {
+		return refuse(http.StatusBadRequest, "the job's description is too long")
+	}
+	t := wire.Txn{
+		If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},
+		Apply: []wire.Change{{Set: store.JobKey(job.ID), Value: rec}},
+	}
+	repeated := false // an earlier try may have been carried out
+	for {
+		_, _, err = n.state.Commit(ctx, store.Second, t)
+		if !errors.Is(err, store.ErrUnknown) || ctx.Err() != nil {
+			break
+		}
+		repeated = true
+	}
+	switch {
+	case err == nil:
+		return Answer{Status: http.StatusCreated, State: &wire.JobState{ID: job.ID, State: wire.JobPending}}
+	case errors.Is(err, store.ErrConflict):
+		v, found, err := n.known(ctx, job.ID)
+		if err != nil || !found {
+			return n.pass(forwarded, fwd, errors.Join(err, errors.New("known, state not read")))
+		}
+		status := http.StatusOK
+		if repeated {
+			status = http.StatusCreated
+		}
+		return Answer{Status: status, State: &wire.JobState{ID: job.ID, State: v.State}}
+	}
+	return n.pass(forwarded, fwd, err)
+}
+
+// judge says whether a job can ever run. A zero status means that it can.
+func (n *Node) judge(j *wire.Job, types []wire.MachineType) Answer {
+	never := func(why string) Answer { return refuse(http.StatusUnprocessableEntity, why) }
+	d := &n.cfg.Deployment
+	tasks := 1.0
+	if j.Service() {
+		tasks = float64(j.Tasks)
+	}
+	known := false
+	for _, t := range d.Teams {
+		if t.Name != j.Team {
+			continue
+		}
+		known = true
+		if tasks*j.CPUs > t.CPUsMax+1e-6 || tasks*j.GPUs > t.GPUsMax+1e-6 {
+			return never("needs more than the team's limit")
+		}
+	}
+	if !known {
+		return never("unknown team")
+	}
+	if len(types) == 0 {
+		return refuse(http.StatusServiceUnavailable, "machine types not known yet")
+	}
+	for i := range types {
+		t := &types[i]
+		if !t.Fits(j) || j.Types != nil && !contains(j.Types, t.Name) || j.Zone != "" && !contains(t.Zones, j.Zone) {
+			continue
+		}
+		return Answer{}
+	}
+	return never("a task fits no allowed machine type")
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Cancel answers POST /v2/runs/{id}/withdraw.
+func (n *Node) Cancel(ctx context.Context, id string, forwarded bool) Answer {
+	if !wire.ValidID(id) {
+		return refuse(http.StatusNotFound, "no such job")
+	}
+	leave, ok := enter(n.decisions)
+	if !ok {
+		return busy
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(ctx, tuning.SubmitPatience)
+	defer cancel()
+	state := func(s string) Answer {
+		return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: s}}
+	}
+	fwd := mesh.Forward{Kind: mesh.Cancel, ID: id}
+	for {
+		v, found, err := n.known(ctx, id)
+		switch {
+		case err != nil:
+			return n.pass(forwarded, fwd, err)
+		case !found:
+			return refuse(http.StatusNotFound, "no such job")
+		case v.State == wire.JobCancelled || v.State == wire.JobDone:
+			return state(v.State)
+		}
+		n.mu.Lock()
+		live := n.replica.Live[id]
+		n.mu.Unlock()
+		if live == nil {
+			continue
+		}
+		rec := *live.Record
+		rec.Cancelled = true
+		_, _, err = n.state.Commit(ctx, store.Second, wire.Txn{
+			If:    []wire.Condition{{Key: store.JobKey(id), Stamp: live.Stamp}},
+			Apply: []wire.Change{{Set: store.JobKey(id), Value: rec}},
+		})
+		switch {
+		case err == nil:
+			return state(wire.JobCancelled)
+		case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrUnknown) && ctx.Err() == nil:
+			continue // read again: it moved on, or our own write went through
+		}
+		return n.pass(forwarded, fwd, err)
+	}
+}
+
+// pass hands a request that this node cannot serve to a peer, once. If that
+// fails too, the user is told at once when to come back.
+func (n *Node) pass(forwarded bool, f mesh.Forward, cause error) Answer {
+	n.log.Debug("cannot serve", "kind", f.Kind, "id", f.ID, "err", cause)
+	if !forwarded {
+		for _, addr := range n.livePeers() {
+			out, err := n.mesh.Forward(context.Background(), addr, f, tuning.ForwardTimeout)
+			if err != nil || out.Status == http.StatusServiceUnavailable || out.Status == http.StatusTooManyRequests {
+				continue
+			}
+			return Answer{Status: out.Status, View: out.View, State: out.State, Error: out.Error}
+		}
+	}
+	return refuse(http.StatusServiceUnavailable, "cannot be decided now")
+}
+
+// livePeers are the peers heard of lately, the leader first.
+func (n *Node) livePeers() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var out []string
+	for _, p := range n.peers {
+		if time.Since(p.heard) > tuning.PeerDead {
+			continue
+		}
+		if p.Name == n.lead.name {
+			out = append([]string{p.Addr}, out...)
+		} else {
+			out = append(out, p.Addr)
+		}
+	}
+	return out
+}
+
+// Forwarded serves a peer's request.
+func (n *Node) Forwarded(ctx context.Context, f mesh.Forward) mesh.Forwarded {
+	var a Answer
+	switch f.Kind {
+	case mesh.Submit:
+		body, ok := mesh.Bytes(f.Body)
+		if !ok {
+			a = refuse(http.StatusBadRequest, "malformed forward")
+			break
+		}
+		a = n.Submit(ctx, body, true)
+	case mesh.Query:
+		a = n.Query(ctx, f.ID, true)
+	case mesh.Cancel:
+		a = n.Cancel(ctx, f.ID, true)
+	default:
+		a = refuse(http.StatusBadRequest, "unknown kind")
+	}
+	return mesh.Forwarded{Status: a.Status, View: a.View, State: a.State, Error: a.Error}
+}
--- /dev/null
+++ b/internal/node/views.go
@@ -0,0 +1,93 @@
+package node
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/yarrowgap/yarrowgap/internal/core"
+)
+
+// LeaderView says who leads, as far as this node knows.
+type LeaderView struct {
+	Node    string  `json:"node"`
+	Leader  string  `json:"leader"`
+	Term    uint64  `json:"term"`
+	Leading bool    `json:"leading"`
+	UpS     float64 `json:"up_s"`
+}
+
+// LeaderView says who leads, as far as this node knows.
+func (n *Node) LeaderView() LeaderView {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return LeaderView{n.cfg.Node, n.lead.name, n.lead.term, n.leader != nil, time.Since(n.start).Seconds()}
+}
+
+// ask runs f on the leader's state; ok is false where this node does not lead.
+func ask[T any](n *Node, f func(*core.Leader, core.Now) T) (out T, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.leader == nil {
+		return out, false
+	}
+	return f(n.leader, n.now()), true
+}
+
+// MachinesView lists machines.
+func (n *Node) MachinesView(from string, most int) ([]core.MachineView, bool) {
+	return ask(n, func(l *core.Leader, now core.Now) []core.MachineView { return l.Machines(now, from, most) })
+}
+
+// JobView describes a live job; nil if there is none of that id.
+func (n *Node) JobView(id string) (*core.JobDetail, bool) {
+	return ask(n, func(l *core.Leader, now core.Now) *core.JobDetail { return l.Job(now, id) })
+}
+
+// WaitingView lists jobs that wait, with the reason.
+func (n *Node) WaitingView(from string, most int) ([]core.JobDetail, bool) {
+	return ask(n, func(l *core.Leader, now core.Now) []core.JobDetail { return l.Waiting(now, from, most) })
+}
+
+// FailuresView lists failed attempts of this term, the newest first.
+func (n *Node) FailuresView(skip, most int) ([]core.Failure, bool) {
+	return ask(n, func(l *core.Leader, now core.Now) []core.Failure { return l.Failures(skip, most) })
+}
+
+// Latency sums up a histogram, in milliseconds.
+type Latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_ms"`
+	P99   int64 `json:"p99_ms"`
+	Max   int64 `json:"max_ms"`
+}
+
+func latency(h *hdrhistogram.Histogram) Latency {
+	return Latency{h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(99), h.Max()}
+}
+
+// Metrics are this process's signals since it started.
+type Metrics struct {
+	ProbeRetry     uint64  `json:"start_probes_total_retry"`
+	ProbeGiveUp    uint64  `json:"start_probes_total_giveup"`
+	Retried        uint64  `json:"attempts_retried_total"`
+	Started        uint64  `json:"tasks_started_total"`
+	Finished       uint64  `json:"tasks_finished_total"`
+	Preempted      uint64  `json:"tasks_preempted_total"`
+	Rented         uint64  `json:"machines_rented_total"`
+	Returned       uint64  `json:"machines_returned_total"`
+	StartToAck     Latency `json:"start_to_ack"`
+	SubmitToAnswer Latency `json:"submit_to_answer"`
+}
+
+// MetricsView returns the signals.
+func (n *Node) MetricsView() Metrics {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.totals
+	if n.leader != nil {
+		addCounters(&c, n.leader.Counters())
+	}
+	return Metrics{c.ProbeRetry, c.ProbeGiveUp, c.Retried, c.Started, c.Finished, c.Preempted, c.Rented, c.Returned,
+		latency(n.ack), latency(n.answers)}
+}
--- /dev/null
+++ b/internal/node/workers.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/config"
+	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// WorkerAnswer is what a worker is told: with 200 the reply, with 421 the
+// redirect.
+type WorkerAnswer struct {
+	Status   int
+	Reply    wire.CheckinReply
+	Redirect wire.Redirect
+}
+
+// kept is a worker that this node, a follower, keeps alive.
+type kept struct {
+	since time.Time // first answer since the leader was last in reach
+	last  time.Time
+}
+
+// Checkin answers a worker's report.
+func (n *Node) Checkin(r *wire.Report) WorkerAnswer {
+	var out WorkerAnswer
+	n.do(func() {
+		if n.leader != nil {
+			reply, ok := n.leader.Checkin(n.now(), r)
+			if ok {
+				out = WorkerAnswer{Status: http.StatusOK, Reply: reply}
+				return
+			}
+			out.Status = http.StatusServiceUnavailable
+			return
+		}
+		out = n.followerCheckin(r)
+	})
+	return out
+}
+
+// followerCheckin answers a report at a node that does not lead. Workers are
+// sent to the leader. Where that cannot be reached, their leases are renewed
+// with the token that they hold, and nothing else: that starts nothing and
+// stops nothing, and lets a cut zone keep its work. The time is bounded so that
+// a job cancelled meanwhile is off its machines in time; see KeepaliveBound.
+func (n *Node) followerCheckin(r *wire.Report) WorkerAnswer {
+	p := n.peers[n.lead.name]
+	reachable := p != nil && time.Since(p.heard) < tuning.PeerDead
+	if reachable {
+		delete(n.kept, r.Machine)
+		return WorkerAnswer{Status: http.StatusMisdirectedRequest, Redirect: wire.Redirect{Leader: n.lead.name}}
+	}
+	if n.lead.term != 0 && core.Term(r.Token) == n.lead.term {
+		now := time.Now()
+		k := n.kept[r.Machine]
+		if k == nil || now.Sub(k.last) > config.Seconds(n.cfg.Deployment.Workers.LeaseS) {
+			if len(n.kept) > 10_000 {
+				clear(n.kept) // never in practice: one entry a machine of a cut
+			}
+			k = &kept{since: now}
+			n.kept[r.Machine] = k
+		}
+		if now.Sub(k.since) < n.KeepaliveBound() {
+			k.last = now
+			return WorkerAnswer{Status: http.StatusOK, Reply: wire.CheckinReply{Token: r.Token, Commands: []wire.Command{}}}
+		}
+	}
+	if p != nil && n.lead.name != "" {
+		return WorkerAnswer{Status: http.StatusMisdirectedRequest, Redirect: wire.Redirect{Leader: n.lead.name}}
+	}
+	return WorkerAnswer{Status: http.StatusServiceUnavailable}
+}
+
+// KeepaliveBound is how long a follower may keep a worker alive: after it, the
+// worker's lease has to run out before the time for a cancellation is over.
+func (n *Node) KeepaliveBound() time.Duration {
+	w := &n.cfg.Deployment.Workers
+	return max(0, config.Seconds(w.CancelS)-config.Seconds(w.LeaseS)-tuning.KeepaliveMargin)
+}
--- /dev/null
+++ b/internal/store/records.go
@@ -0,0 +1,142 @@
+package store
+
+import (
+	"encoding/base64"
+	"fmt"
+	"math/bits"
+	"strings"
+
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// Keys. Live jobs, their further bitmaps, ended jobs, machines, types and the
+// leader have a prefix each, so that a restart reads only what lives.
+const (
+	JobsPrefix    = "job/" // both of the next two: what a watch covers
+	JobPrefix     = "job/live/"
+	EndedPrefix   = "job/ended/"
+	BitsPrefix    = "bits/"
+	MachinePrefix = "machine/"
+	LeaderKey     = "lead/leader"
+	LeaderPrefix  = "lead/"
+	TypesKey      = "types"
+)
+
+// JobKey and its like name the key of a record.
+func JobKey(id string) string             { return JobPrefix + id }
+func EndedKey(id string) string           { return EndedPrefix + id }
+func MachineKey(name string) string       { return MachinePrefix + name }
+func BitsKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", BitsPrefix, id, chunk) }
+
+// JobRecord is a live job: what was submitted and how far it is.
+type JobRecord struct {
+	Job       wire.Job `cbor:"job" json:"job"`
+	Cancelled bool     `cbor:"cancelled,omitempty" json:"cancelled,omitempty"`
+	// Done has a bit for each of the first tuning.BitmapTasks tasks, in base64;
+	// further tasks have theirs under BitsKey.
+	Done string `cbor:"done,omitempty" json:"done,omitempty"`
+}
+
+// EndedRecord is what is remembered of a job for good.
+type EndedRecord struct {
+	State string `cbor:"standing" json:"standing"`
+	Done  int    `cbor:"done" json:"done"`
+	Tasks int    `cbor:"tasks" json:"tasks"`
+	Class string `cbor:"class,omitempty" json:"class,omitempty"`
+}
+
+// BitsRecord is a further chunk of done bits.
+type BitsRecord struct {
+	Done string `cbor:"done" json:"done"`
+}
+
+// Assigned is a task in a machine's record.
+type Assigned struct {
+	Index   int    `cbor:"i" json:"i"`
+	Attempt uint64 `cbor:"a" json:"a"`
+}
+
+// MachineRecord is a machine with all that it may have been told to start.
+type MachineRecord struct {
+	Type    string                `cbor:"type" json:"type"`
+	Zone    string                `cbor:"zone" json:"zone"`
+	Spot    bool                  `cbor:"spot,omitempty" json:"spot,omitempty"`
+	Address string                `cbor:"address" json:"address"`
+	Tasks   map[string][]Assigned `cbor:"tasks,omitempty" json:"tasks,omitempty"`
+	Images  []string              `cbor:"images,omitempty" json:"images,omitempty"`
+}
+
+// LeaderRecord names the leader. Boot tells a process from its predecessors.
+type LeaderRecord struct {
+	Node string `cbor:"node" json:"node"`
+	Addr string `cbor:"addr" json:"addr"`
+	Boot uint64 `cbor:"boot" json:"boot"`
+}
+
+// Bitmap is a set of task indices below a fixed number.
+type Bitmap []byte
+
+// NewBitmap makes an empty set for n tasks.
+func NewBitmap(n int) Bitmap { return make(Bitmap, (n+7)/8) }
+
+// Has reports whether i is in the set.
+func (b Bitmap) Has(i int) bool { return i>>3 < len(b) && b[i>>3]&(1<<(i&7)) != 0 }
+
+// Add puts i into the set.
+func (b Bitmap) Add(i int) { b[i>>3] |= 1 << (i & 7) }
+
+// Count is the size of the set.
+func (b Bitmap) Count() int {
+	n := 0
+	for _, x := range b {
+		n += bits.OnesCount8(x)
+	}
+	return n
+}
+
+const chunkBytes = tuning.BitmapTasks / 8
+
+// Chunks is how many values hold the set.
+func (b Bitmap) Chunks() int { return max(1, (len(b)+chunkBytes-1)/chunkBytes) }
+
+// Encode gives chunk k as text. An empty chunk is empty text.
+func (b Bitmap) Encode(k int) string {
+	part := b[min(len(b), k*chunkBytes):min(len(b), (k+1)*chunkBytes)]
+	n := len(part)
+	for n > 0 && part[n-1] == 0 {
+		n--
+	}
+	return base64.RawStdEncoding.EncodeToString(part[:n])
+}
+
+// Merge adds the members of chunk k in s to the set.
+func (b Bitmap) Merge(k int, s string) error {
+	raw, err := base64.RawStdEncoding.DecodeString(s)
+	if err != nil {
+		return err
+	}
+	at := k * chunkBytes
+	if len(raw) > chunkBytes || at+len(raw) > len(b) {
+		return fmt.Errorf("bitmap chunk %d: too long", k)
+	}
+	for i, x := range raw {
+		b[at+i] |= x
+	}
+	return nil
+}
+
+// DecodeJob reads a job's record and checks what recovery relies on.
+func DecodeJob(it wire.Item) (*JobRecord, error) {
+	r := &JobRecord{}
+	if err := wire.Unmarshal(it.Value, r); err != nil {
+		return nil, err
+	}
+	if JobKey(r.Job.ID) != it.Key || r.Job.Tasks < 1 || r.Job.Tasks > wire.MaxTasks {
+		return nil, fmt.Errorf("record %s: inconsistent", it.Key)
+	}
+	return r, nil
+}
+
+// IDOf takes the id out of a key with the prefix.
+func IDOf(prefix, key string) string { return strings.TrimPrefix(key, prefix) }
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,224 @@
+// Package tuning holds every constant of the program, each with its unit and
+// the reason for its value. What an operator may set is in package policy and
+// takes its default from here; what a deployment sets comes from its settings
+// file and has no constant.
+package tuning
+
+import "time"
+
+// Leadership.
+const (
+	// LeaseTTL is how long the leader's lease outlives its last renewal. Short,
+	// because starts wait while no one leads; three renewals fit into it.
+	LeaseTTL = 2500 * time.Millisecond
+	// RenewEvery is the renewal interval: a third of the TTL, so that one lost
+	// renewal and one late one do not cost the lead.
+	RenewEvery = 800 * time.Millisecond
+	// CampaignWait is the pause between tries to become leader, before jitter.
+	CampaignWait = 300 * time.Millisecond
+	// ResignPause is how long a leader that resigned because no worker reached
+	// it stays out of elections; the others need at most a lease's time.
+	ResignPause = 12 * time.Second
+	// FenceBits is the number of low bits of a token that a leader may count
+	// up by itself. 2^20 fences per term outlast any term, and 44 bits are left
+	// for the state service's revisions.
+	FenceBits = 20
+)
+
+// Dealings with the state service.
+const (
+	// StateTimeout bounds one request. Answers take milliseconds, at times a
+	// few hundred.
+	StateTimeout = 1200 * time.Millisecond
+	// WatchBlock is how long one watch may wait at the service. Well under its
+	// 60 s, so that a dead connection is noticed.
+	WatchBlock = 10 * time.Second
+	// WatchSlack is how much longer than WatchBlock a watch may take.
+	WatchSlack = 3 * time.Second
+	// WatchGap is the least time between two watches, so that a busy store is
+	// read in batches.
+	WatchGap = 40 * time.Millisecond
+	// SyncGap is the pause between two reads of changes for polls; whoever
+	// comes meanwhile shares the next. It bounds a node at 25 such reads a
+	// second and delays a poll by half of it on average.
+	SyncGap = 40 * time.Millisecond
+	// FollowEvery is how often a follower reads changes without being asked,
+	// so that it never falls behind the 10,000 that the service keeps.
+	FollowEvery = 5 * time.Second
+	// StateRetry is the pause after a refusal or a lost answer.
+	StateRetry = 250 * time.Millisecond
+	// StateRetryMax is the longest such pause when refusals go on. Under a
+	// second, since service resumes only with the next try.
+	StateRetryMax = 1 * time.Second
+	// ReadPage is the page size of a full read, in items. 512 KiB a page is the
+	// service's own bound.
+	ReadPage = 500
+	// ReadShare is the share of the deployment's request rate that one node
+	// takes at the most, and WriteShare of the change rate that the leader
+	// takes. What is left serves submissions at the other nodes.
+	ReadShare  = 0.5
+	WriteShare = 0.8
+	// StateConns bounds connections to the state service.
+	StateConns = 24
+	// JobsCached is how many ended jobs a node remembers to answer polls
+	// without a read. About 150 bytes each.
+	JobsCached = 20000
+)
+
+// Records in the state service.
+const (
+	// ValueSlack is the part of the value limit that records leave unused, for
+	// the difference between our measure and the service's.
+	ValueSlack = 0.1
+	// BitmapTasks is how many tasks' done bits one value holds: base64 of 8192
+	// bits takes 1.4 KB, which fits the smallest value limit with the job.
+	BitmapTasks = 8192
+	// RecordTaskBytes is what one assigned task takes in a machine's record at
+	// the most, in JSON.
+	RecordTaskBytes = 24
+	// RecordJobBytes is what a job takes in a machine's record, in JSON.
+	RecordJobBytes = 40
+	// DoneFlush is how long done tasks of an unfinished job may wait for their
+	// write, to share one. A crash in between costs nothing: workers list done
+	// tasks until they are told to forget them.
+	DoneFlush = 1200 * time.Millisecond
+	// RecordFlush is how long a removed assignment may stay in a machine's
+	// record. A stale one only makes recovery wait for that machine's report.
+	RecordFlush = 4 * time.Second
+)
+
+// Starts, stops and what follows them.
+const (
+	// AckWait is how long the leader waits for the worker's acknowledgement of
+	// a start before it counts as unanswered. A healthy worker answers within
+	// tens of milliseconds.
+	AckWait = 1500 * time.Millisecond
+	// ProbeCount is into how many probes a task's time budget is divided.
+	ProbeCount = 6
+	// DefaultBudget is the time budget of a task whose job has no deadline.
+	DefaultBudget = 60 * time.Second
+	// ProbeFloor is the shortest time that a start is probed for, however long
+	// its job has been queued: one wait and one more try.
+	ProbeFloor = 4 * time.Second
+	// HaltRepeat is the pause between repeated stops of the same task.
+	HaltRepeat = 2 * time.Second
+	// ErrorBackoff is the first pause of a job after a failed attempt, doubled
+	// for each failure without a success in between, up to ErrorBackoffMax.
+	ErrorBackoff    = 500 * time.Millisecond
+	ErrorBackoffMax = 60 * time.Second
+	// SuspectJobs is how many different jobs have to fail on a machine before
+	// it counts as faulty, and SuspectFor how long it is then avoided.
+	SuspectJobs = 2
+	SuspectFor  = 5 * time.Minute
+	// JobSuspectMachines is how many machines a job fails on before its
+	// failures say nothing about machines any more.
+	JobSuspectMachines = 3
+	// RefusalPause keeps a machine from new starts after it refused one as
+	// full: its picture and ours differ until its next report.
+	RefusalPause = 2 * time.Second
+	// FailuresKept is how many failed attempts stay queryable.
+	FailuresKept = 500
+)
+
+// Machines.
+const (
+	// CommandTimeout bounds one direct command.
+	CommandTimeout = 1500 * time.Millisecond
+	// PokePause is the least time between two direct calls to a machine that
+	// does not answer.
+	PokePause = 2 * time.Second
+	// SilentSlack is added to the lease time before a silent machine is given
+	// back: its tasks have ended themselves by then, whatever it is.
+	SilentSlack = 700 * time.Millisecond
+	// ZoneSilence is how many leases long a zone may be silent as a whole
+	// before its machines are given back; a node in it may keep them alive.
+	ZoneSilence = 2.5
+	// BootPatience is how many times its usual boot time a machine may take
+	// before it is given back; BootPatienceMin is the least, in seconds, since
+	// some machines take several times as long.
+	BootPatience    = 3.0
+	BootPatienceMin = 60 * time.Second
+	// NewcomerGrace is how long a machine without tasks may be unlisted and
+	// silent before it is taken for gone.
+	NewcomerGrace = 20 * time.Second
+	// IdleRelease is how long a machine may stand idle where price or useful
+	// work is an aim. A machine costs at least 60 s, and boots for as long as
+	// this.
+	IdleRelease = 45 * time.Second
+	// IdleReleaseFree is the same where neither is an aim.
+	IdleReleaseFree = 20 * time.Minute
+	// SpareShare is the spare capacity kept where price is no aim, as a share
+	// of what is in use.
+	SpareShare = 0.5
+	// SpareShareThrift is the same where it is one.
+	SpareShareThrift = 0.0
+)
+
+// Cloud.
+const (
+	// CloudTimeout bounds one call.
+	CloudTimeout = 6 * time.Second
+	// ListEvery is the interval of full machine lists.
+	ListEvery = 4 * time.Second
+	// TypesEvery is the interval of price and type reads.
+	TypesEvery = 60 * time.Second
+	// CloudRetry is the pause after a refused call, doubled up to CloudRetryMax.
+	CloudRetry    = 1 * time.Second
+	CloudRetryMax = 8 * time.Second
+	// CapacityPause is how long a type, zone and kind is not asked for again
+	// after the cloud had none.
+	CapacityPause = 12 * time.Second
+	// RentMax and ReleaseMax are the protocol's limits on one call.
+	RentMax    = 50
+	ReleaseMax = 100
+	// ListPage is the protocol's largest page of the machine list.
+	ListPage = 500
+)
+
+// Node.
+const (
+	// TickEvery is the pace of the leader's housekeeping. Everything urgent is
+	// done when its event arrives.
+	TickEvery = 200 * time.Millisecond
+	// PlaceGap is the least time between two placement rounds, to batch
+	// arrivals and finished tasks.
+	PlaceGap = 15 * time.Millisecond
+	// PeerEvery is the interval of pings between nodes, PeerTimeout the bound
+	// on one, and PeerDead how long without an answer makes a peer unreachable.
+	PeerEvery   = 700 * time.Millisecond
+	PeerTimeout = 1500 * time.Millisecond
+	PeerDead    = 2500 * time.Millisecond
+	// KeepaliveMargin is taken off the time for which a follower keeps the
+	// workers of a cut zone alive; see core.KeepaliveBound.
+	KeepaliveMargin = 5 * time.Second
+	// LonelyReports is how many report intervals a leader with machines may go
+	// without hearing from any worker before it resigns.
+	LonelyReports = 4
+	// SubmitPatience is how long a submission may be tried at the state service
+	// before it is refused; users give up after 5 s.
+	SubmitPatience = 2500 * time.Millisecond
+	// QueryPatience is the same for a poll, for which users wait 2 s.
+	QueryPatience = 1200 * time.Millisecond
+	// ForwardTimeout bounds a request passed to a peer.
+	ForwardTimeout = 1500 * time.Millisecond
+	// RetryAfter is what refused users are told to wait, in seconds.
+	RetryAfter = 1
+	// DecisionsInFlight and SubmissionsInFlight bound concurrent work for
+	// users; cancellations and polls rank above submissions.
+	DecisionsInFlight   = 200
+	SubmissionsInFlight = 60
+	// SocketShare is the share of the platform's socket limit that the user
+	// and worker listener may hold; the rest is for our own calls.
+	SocketShare = 0.7
+	// IdleConn is how long an idle connection is kept. Users poll every 5 s,
+	// workers report every few seconds.
+	IdleConn = 30 * time.Second
+	// HeaderTimeout and BodyTimeout bound how long a slow client may take.
+	HeaderTimeout = 4 * time.Second
+	BodyTimeout   = 4 * time.Second
+	// MemoryShare is the share of the platform's memory limit given to the Go
+	// runtime as its soft limit; the rest covers what it does not count.
+	MemoryShare = 0.7
+	// GCPercent lets the heap grow this much between collections.
+	GCPercent = 200
+)
