--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,119 @@
+package core_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// The same inputs every time; a failure shows its seed.
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// Whatever is lost, late, repeated, cut or killed, no rule is broken; and once
+// the troubles end, every accepted array is completed.
+func TestRulesHoldUnderFailures(t *testing.T) {
+	starts := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.Uint64().Draw(t, "seed"))
+		w.lose = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "lose")
+		w.hold = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "hold")
+		w.repeat = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "repeat")
+		w.users(90 * time.Second)
+		w.troubles(100 * time.Second)
+		w.run(400 * time.Second)
+		if len(w.rules.Broken) > 0 {
+			t.Fatalf("broken:\n%s", strings.Join(w.rules.Broken[:min(5, len(w.rules.Broken))], "\n"))
+		}
+		for _, j := range w.jobs {
+			state := w.poll(j.ID)
+			if state == wire.JobPending && !j.Service() {
+				t.Fatalf("%s of %d tasks is not done, %d on machines\n%s", j.ID, j.Tasks, w.rules.On(j.ID), w.explain(j.ID))
+			}
+			if state == wire.JobPending && w.rules.On(j.ID) != j.Tasks {
+				t.Fatalf("service %s has %d of %d replicas", j.ID, w.rules.On(j.ID), j.Tasks)
+			}
+			if state == wire.JobCancelled && w.rules.On(j.ID) != 0 {
+				t.Fatalf("cancelled %s still has %d tasks", j.ID, w.rules.On(j.ID))
+			}
+		}
+		starts += w.rules.Starts
+	})
+	if starts < 1000 {
+		t.Fatalf("the worlds started %d tasks: too few to show anything", starts)
+	}
+}
+
+func (w *world) explain(id string) string {
+	for _, n := range w.nodes {
+		if n.leader != nil {
+			return fmt.Sprintf("%+v\nwaiting: %+v\nmachines: %+v", n.leader.Job(w.coreNow(), id), n.leader.Waiting(w.coreNow(), "", 10), n.leader.Machines(w.coreNow(), "", 50))
+		}
+	}
+	return "no leader"
+}
+
+// The checker has to be able to fail: a cloud that says that machines are gone
+// while they run on makes tasks run twice, and that must be seen.
+func TestCheckerCatchesABrokenWorld(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed)
+		w.lying = true
+		w.lose = 0.02
+		w.users(90 * time.Second)
+		w.every(5*time.Second, func() {
+			// Cut from everything but kept alive by nobody: without the
+			// release being true, its tasks run on until its lease ends.
+			w.cut[w.names[w.rng.IntN(len(w.names))]] = w.now + 30*time.Second
+		})
+		for _, wk := range w.workers {
+			wk.LongLease()
+		}
+		w.run(150 * time.Second)
+		for _, b := range w.rules.Broken {
+			if strings.Contains(b, "ran_twice") {
+				return
+			}
+		}
+	}
+	t.Fatal("a cloud that lies about releases went unnoticed in 20 worlds")
+}
+
+// A quiet world serves at once: no trouble, every job done, nothing re-probed.
+func TestQuietWorld(t *testing.T) {
+	w := newWorld(3)
+	w.trouble = false
+	w.users(60 * time.Second)
+	w.run(200 * time.Second)
+	if len(w.rules.Broken) > 0 {
+		t.Fatal(w.rules.Broken[0])
+	}
+	for _, j := range w.jobs {
+		if s := w.poll(j.ID); s == wire.JobPending && !j.Service() {
+			t.Errorf("%s: %s", j.ID, w.explain(j.ID))
+		}
+	}
+	for _, n := range w.nodes {
+		if n.leader == nil {
+			continue
+		}
+		if c := n.leader.Counters(); c.ProbeRetry != 0 || c.ProbeGiveUp != 0 || c.Finished == 0 {
+			t.Errorf("counters of a quiet world: %+v", c)
+		}
+	}
+	if n := len(w.state.Range(w.now, store.JobPrefix, "", 1000).Items); n > 12 {
+		t.Errorf("%d records of live jobs are left", n)
+	}
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -10,6 +10,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -331,6 +333,16 @@
 	for _, it := range machines {
 		l.addRecord(it)
 	}
+	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
+		// A cancellation that the last leader did not see through: without
+		// this, the job's tasks would stay, since no watch tells of it again.
+		if j := l.jobs[id]; j.cancelled {
+			for _, a := range j.attempts() {
+				l.stop(a, false, "cancelled")
+			}
+		}
+		l.finish(l.jobs[id])
+	}
 	l.line(false, "recovered", "jobs", len(l.jobs), "machines", len(l.machines))
 	for _, m := range l.sorted() {
 		l.poke(m)
@@ -411,7 +423,8 @@
 	for _, im := range rec.Images {
 		m.images = append(m.images, image{name: im})
 	}
-	for id, list := range rec.Tasks {
+	for _, id := range slices.Sorted(maps.Keys(rec.Tasks)) {
+		list := rec.Tasks[id]
 		for _, a := range list {
 			ref := taskRef{id, a.Index}
 			if j := l.jobs[id]; j != nil && (a.Index >= j.spec.Tasks || j.done.Has(a.Index)) {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -153,8 +153,8 @@
 		l.progress(a, t)
 	}
 	m.exited = still
-	for ref, a := range m.tasks {
-		if listed[ref] {
+	for _, a := range m.list() {
+		if listed[a.ref] {
 			continue
 		}
 		if !l.provenAbsent(a, r, checkin) {
--- /dev/null
+++ b/internal/core/world_test.go
@@ -0,0 +1,608 @@
+package core_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/standin"
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// world is a simulated deployment: two controller nodes that run the core, and
+// stand-ins for everything else, with messages that are late, lost, repeated
+// and held back. Everything follows from the seed.
+type world struct {
+	now   time.Duration
+	seq   int
+	queue events
+	rng   *rand.Rand
+
+	state   *standin.State
+	rules   *standin.Rules
+	workers map[string]*standin.Worker
+	rented  map[string][]string
+	names   []string
+	nodes   []*simNode
+	types   []wire.MachineType
+	jobs    []*wire.Job
+	faulty  map[string]bool
+	cut     map[string]time.Duration // machine or node -> cut until
+
+	trouble   bool // faults go on
+	lying     bool // the cloud answers releases without carrying them out
+	cloudDown bool
+	lose      float64
+	hold      float64
+	repeat    float64
+	lease     time.Duration
+	settings  core.Settings
+	trace     bool // print what the leaders log
+}
+
+type simNode struct {
+	w       *world
+	name    string
+	leader  *core.Leader
+	permit  uint64
+	term    uint64
+	boot    int
+	replica *core.Replica
+	refused time.Duration // by the state service, until then
+	dead    time.Duration // until then
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(a, b int) bool {
+	return e[a].at < e[b].at || e[a].at == e[b].at && e[a].seq < e[b].seq
+}
+func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	x := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return x
+}
+
+func (w *world) after(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now + d, w.seq, f})
+}
+
+func (w *world) every(d time.Duration, f func()) {
+	var again func()
+	again = func() {
+		f()
+		w.after(d*3/4+time.Duration(w.rng.Int64N(int64(d/2)+1)), again)
+	}
+	w.after(time.Duration(w.rng.Int64N(int64(d)+1)), again)
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.f()
+		for _, name := range w.names {
+			w.workers[name].Advance(w.now)
+		}
+	}
+	w.now = until
+}
+
+func (w *world) chance(p float64) bool { return w.trouble && w.rng.Float64() < p }
+
+func (w *world) delay() time.Duration {
+	d := time.Duration(1+w.rng.IntN(20)) * time.Millisecond
+	if w.chance(0.03) {
+		d += time.Duration(w.rng.IntN(800)) * time.Millisecond
+	}
+	return d
+}
+
+// fate decides what becomes of a message: how often it arrives, and when.
+func (w *world) fate(ends ...string) []time.Duration {
+	for _, e := range ends {
+		if w.cut[e] > w.now {
+			if w.chance(0.5) {
+				return []time.Duration{w.cut[e] - w.now + w.delay()} // held
+			}
+			return nil
+		}
+	}
+	if w.chance(w.lose) {
+		return nil
+	}
+	out := []time.Duration{w.delay()}
+	if w.chance(w.hold) {
+		out[0] = time.Duration(w.rng.IntN(25000)) * time.Millisecond
+	}
+	if w.chance(w.repeat) {
+		out = append(out, out[0]+time.Duration(w.rng.IntN(20000))*time.Millisecond)
+	}
+	return out
+}
+
+const (
+	simReport = 1500 * time.Millisecond
+	simCancel = 40 * time.Second
+	simLimit  = 24.0
+)
+
+func newWorld(seed uint64) *world {
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), state: standin.NewState(12, 10000),
+		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{},
+		trouble: true, lease: 12 * time.Second}
+	w.types = []wire.MachineType{
+		{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 0.5, Price: 1, SpotCost: 0.3, BootS: 5, Zones: []string{"a", "b"}},
+		{Name: "large", CPUs: 16, MemoryGB: 64, CacheGB: 20, FetchGBs: 0.5, Price: 2, SpotCost: 0.6, BootS: 5, Zones: []string{"a", "b"}},
+	}
+	w.rules = standin.NewRules(map[string]float64{"red": simLimit, "blue": simLimit}, simCancel)
+	w.settings = core.Settings{
+		Teams: map[string]core.Team{"red": {CPUs: 12, CPUsMax: simLimit}, "blue": {CPUs: 12, CPUsMax: simLimit}},
+		Zones: []string{"a", "b"}, Report: simReport, Lease: w.lease, TxnOps: 12, ValueBytes: 4096, WriteRate: 40,
+		Policy: policy.Defaults(false),
+	}
+	for i := range 2 {
+		n := &simNode{w: w, name: fmt.Sprintf("node-%d", i), replica: core.NewReplica()}
+		w.nodes = append(w.nodes, n)
+		w.every(300*time.Millisecond, n.elect)
+		w.every(100*time.Millisecond, n.watch)
+		w.every(200*time.Millisecond, n.tick)
+	}
+	for i := range 4 {
+		w.boot(w.types[i%2], []string{"a", "b"}[i/2], false)
+	}
+	w.every(time.Second, func() { w.rules.Check(w.now) })
+	return w
+}
+
+func (w *world) coreNow() core.Now {
+	return core.Now{Mono: w.now, Wall: w.now.Milliseconds()}
+}
+
+func (w *world) boot(mt wire.MachineType, zone string, spot bool) string {
+	name := fmt.Sprintf("n-%06d", len(w.names))
+	w.names = append(w.names, name)
+	w.faulty[name] = w.rng.Float64() < 0.1
+	wk := standin.NewWorker(w.now, w.lease, name, mt, zone, spot, w.rules,
+		func(string) time.Duration { return time.Duration(2+w.rng.IntN(15)) * time.Second },
+		func(string) bool { return w.trouble && w.faulty[name] && w.rng.Float64() < 0.5 })
+	w.workers[name] = wk
+	at := w.rng.IntN(len(w.nodes))
+	var next func()
+	next = func() {
+		if wk.Gone {
+			return
+		}
+		wk.Advance(w.now)
+		r := wk.Report(w.now)
+		sent, session := w.now, wk.Session
+		n := w.nodes[at]
+		answered := false
+		for _, d := range w.fate(name, n.name) {
+			w.after(d, func() {
+				reply, ok := n.checkin(&r)
+				if !ok {
+					return
+				}
+				for _, d := range w.fate(name, n.name) {
+					w.after(d, func() {
+						if !answered && w.now-sent < 4*time.Second {
+							answered = true
+							wk.Reply(w.now, sent, session, reply)
+						}
+					})
+					break // a response is read once
+				}
+			})
+		}
+		pause := simReport*3/4 + time.Duration(w.rng.Int64N(int64(simReport/2)))
+		w.after(pause, func() {
+			if answered {
+				next()
+				return
+			}
+			// One report is in flight at a time: wait for it to time out.
+			w.after(max(0, sent+4*time.Second-w.now), func() {
+				if !answered {
+					answered = true
+					at = (at + 1) % len(w.nodes)
+				}
+				next()
+			})
+		})
+	}
+	w.after(time.Duration(w.rng.IntN(1000))*time.Millisecond, next)
+	return name
+}
+
+func (n *simNode) alive() bool { return n.w.now >= n.dead }
+
+func (n *simNode) stateOK() bool { return n.alive() && !n.w.state.Down && n.w.now >= n.refused }
+
+func (n *simNode) crash(d time.Duration) {
+	n.leader, n.replica = nil, core.NewReplica()
+	n.dead = n.w.now + d
+	n.boot++
+}
+
+// elect is the election in short: take the key if it is free, renew the lease.
+func (n *simNode) elect() {
+	w := n.w
+	if !n.stateOK() {
+		return
+	}
+	if n.leader != nil {
+		if !w.state.Renew(w.now, n.permit) {
+			n.leader = nil
+		}
+		return
+	}
+	if w.state.Get(w.now, store.LeaderKey).Stamp != 0 {
+		return
+	}
+	n.permit = w.state.Grant(w.now, 2500*time.Millisecond)
+	status, r := w.state.Commit(w.now, wire.Txn{
+		If:    []wire.Condition{{Key: store.LeaderKey}},
+		Apply: []wire.Change{{Set: store.LeaderKey, Value: store.LeaderRecord{Node: n.name}, Permit: &n.permit}},
+	})
+	if status != 200 {
+		return
+	}
+	n.term = r.Epoch
+	boot := n.boot
+	w.after(w.delay(), func() {
+		if n.boot != boot || !n.stateOK() || !w.state.Renew(w.now, n.permit) {
+			return
+		}
+		all := func(prefix string) []wire.Item { return w.state.Range(w.now, prefix, "", 1000).Items }
+		n.replica.Reset(all(store.JobPrefix), w.state.Epoch)
+		n.leader = core.NewLeader(w.coreNow(), w.settings, n.term, n.replica, all(store.BitsPrefix), all(store.MachinePrefix), w.types)
+		n.drain()
+	})
+}
+
+func (n *simNode) watch() {
+	if n.leader == nil || !n.stateOK() {
+		return
+	}
+	c, ok := n.w.state.Changes(n.w.now, store.JobsPrefix, n.replica.Epoch)
+	if !ok {
+		panic("the stand-in forgot changes")
+	}
+	touched, bad := n.replica.Apply(c)
+	if len(bad) > 0 {
+		panic(fmt.Sprint("unreadable records: ", bad))
+	}
+	n.leader.JobsChanged(n.w.coreNow(), touched)
+	n.drain()
+}
+
+func (n *simNode) tick() {
+	if n.leader == nil || !n.alive() {
+		return
+	}
+	n.leader.Tick(n.w.coreNow())
+	if n.w.rng.IntN(10) == 0 && !n.w.cloudDown {
+		n.leader.Listed(n.w.coreNow(), n.w.list())
+	}
+	n.drain()
+}
+
+func (w *world) list() []wire.ListedMachine {
+	var out []wire.ListedMachine
+	for _, name := range w.names {
+		if wk := w.workers[name]; !wk.Gone {
+			out = append(out, wire.ListedMachine{Name: name, Address: wk.Addr, Type: wk.Type, Zone: wk.Zone, Spot: wk.Spot, State: wire.MachineRunning, AgeS: 1})
+		}
+	}
+	return out
+}
+
+func (n *simNode) checkin(r *wire.Report) (wire.CheckinReply, bool) {
+	if n.leader == nil || !n.alive() {
+		return wire.CheckinReply{}, false
+	}
+	reply, ok := n.leader.Checkin(n.w.coreNow(), r)
+	n.drain()
+	return reply, ok
+}
+
+// drain settles the leader and carries out what it decided.
+func (n *simNode) drain() {
+	w, l := n.w, n.leader
+	if l == nil {
+		return
+	}
+	l.Settle(w.coreNow())
+	e := l.Take()
+	if w.trace {
+		for _, line := range e.Log {
+			fmt.Println(w.now, n.name, line.Msg, line.Args)
+		}
+		if e.Resign != "" {
+			fmt.Println(w.now, n.name, "resigns:", e.Resign)
+		}
+	}
+	with := func(f func()) {
+		if n.leader == l && n.alive() {
+			f()
+			n.drain()
+		}
+	}
+	for _, c := range e.Commits {
+		n.commit(c, with)
+	}
+	for _, c := range e.Direct {
+		n.direct(c, with)
+	}
+	for _, name := range e.Reads {
+		w.after(w.delay(), func() {
+			ok := n.stateOK()
+			stamp := w.state.Get(w.now, store.MachineKey(name)).Stamp
+			with(func() { l.RecordRead(w.coreNow(), name, stamp, ok) })
+		})
+	}
+	for _, r := range e.Rent {
+		w.after(w.delay(), func() {
+			if w.cloudDown {
+				with(func() { l.Rented(w.coreNow(), r.Request.Name, core.RentRefused, nil) })
+				return
+			}
+			names, again := w.rented[r.Request.Name]
+			if !again {
+				live := 0
+				for _, wk := range w.workers {
+					if !wk.Gone {
+						live++
+					}
+				}
+				for i := 0; i < r.Request.Count && live < 8; i++ {
+					live++
+					for _, t := range w.types {
+						if t.Name == r.Request.Type {
+							names = append(names, w.boot(t, r.Request.Zone, r.Request.Spot))
+						}
+					}
+				}
+				w.rented[r.Request.Name] = names
+			}
+			res := core.RentDone
+			if len(names) == 0 {
+				res = core.RentNone
+			}
+			if w.chance(0.1) {
+				res, names = core.RentUnknown, nil
+			}
+			with(func() { l.Rented(w.coreNow(), r.Request.Name, res, names) })
+		})
+	}
+	for _, names := range e.Release {
+		w.after(w.delay(), func() {
+			if w.cloudDown {
+				with(func() { l.Released(w.coreNow(), names, core.ReleaseRefused) })
+				return
+			}
+			if !w.lying {
+				for _, name := range names {
+					w.workers[name].Kill()
+				}
+			}
+			res := core.ReleaseDone
+			if w.chance(0.1) {
+				res = core.ReleaseUnknown
+			}
+			with(func() { l.Released(w.coreNow(), names, res) })
+		})
+	}
+	if e.Resign != "" && n.leader == l {
+		n.leader = nil
+		w.state.Revoke(n.permit)
+	}
+}
+
+func (n *simNode) commit(c core.Commit, with func(func())) {
+	w, l := n.w, n.leader
+	w.after(w.delay(), func() {
+		done := func(res core.CommitResult, rev uint64, failed []string) {
+			with(func() { l.CommitDone(w.coreNow(), c.ID, res, rev, failed) })
+		}
+		if !n.stateOK() {
+			done(core.CommitRefused, 0, nil)
+			return
+		}
+		if w.chance(w.lose) {
+			// No answer: carried out now, later, or not at all.
+			switch w.rng.IntN(3) {
+			case 0:
+				w.state.Commit(w.now, c.Txn)
+			case 1:
+				w.after(time.Duration(w.rng.IntN(10000))*time.Millisecond, func() { w.state.Commit(w.now, c.Txn) })
+			}
+			w.after(time.Second, func() { done(core.CommitUnknown, 0, nil) })
+			return
+		}
+		status, r := w.state.Commit(w.now, c.Txn)
+		w.after(w.delay(), func() {
+			switch status {
+			case 200:
+				done(core.CommitDone, r.Epoch, nil)
+			case 409:
+				done(core.CommitConflict, 0, r.Failed)
+			default:
+				panic("malformed transaction: " + r.Error)
+			}
+		})
+	})
+}
+
+func (n *simNode) direct(c core.DirectCall, with func(func())) {
+	w, l := n.w, n.leader
+	finished := false
+	finish := func(res core.CallResult, r *wire.Report) {
+		if finished {
+			return
+		}
+		finished = true
+		with(func() { l.CallDone(w.coreNow(), c.ID, res, r) })
+	}
+	for _, d := range w.fate(c.Machine, n.name) {
+		w.after(d, func() {
+			wk := w.workers[c.Machine]
+			if wk.Gone {
+				return
+			}
+			status, r := wk.Commands(w.now, c.Body)
+			res := core.CallExecuted
+			if status == 409 {
+				res = core.CallRefused
+			}
+			for _, d := range w.fate(c.Machine, n.name) {
+				w.after(d, func() { finish(res, &r) })
+			}
+		})
+	}
+	w.after(1500*time.Millisecond, func() { finish(core.CallLost, nil) })
+}
+
+// submit stores a job as a node does for a user.
+func (w *world) submit(j *wire.Job) {
+	j.CreatedMilli = w.now.Milliseconds()
+	w.rules.Submit(j)
+	status, _ := w.state.Commit(w.now, wire.Txn{
+		If:    []wire.Condition{{Key: store.JobKey(j.ID)}, {Key: store.EndedKey(j.ID)}},
+		Apply: []wire.Change{{Set: store.JobKey(j.ID), Value: store.JobRecord{Job: *j}}},
+	})
+	if status == 200 {
+		w.jobs = append(w.jobs, j)
+	}
+}
+
+// poll asks for a job's state as a node tells it.
+func (w *world) poll(id string) string {
+	state := "unknown"
+	if it := w.state.Get(w.now, store.EndedKey(id)); it.Stamp != 0 {
+		var rec store.EndedRecord
+		must(wire.Unmarshal(it.Value, &rec))
+		state = rec.State
+	} else if it := w.state.Get(w.now, store.JobKey(id)); it.Stamp != 0 {
+		rec, err := store.DecodeJob(it)
+		must(err)
+		state = wire.JobPending
+		if rec.Cancelled {
+			state = wire.JobCancelled
+		}
+	}
+	w.rules.Told(w.now, id, state)
+	return state
+}
+
+func (w *world) cancel(id string) {
+	it := w.state.Get(w.now, store.JobKey(id))
+	if it.Stamp == 0 {
+		return
+	}
+	rec, err := store.DecodeJob(it)
+	must(err)
+	rec.Cancelled = true
+	status, _ := w.state.Commit(w.now, wire.Txn{
+		If:    []wire.Condition{{Key: it.Key, Stamp: it.Stamp}},
+		Apply: []wire.Change{{Set: it.Key, Value: rec}},
+	})
+	if status == 200 {
+		w.rules.Told(w.now, id, wire.JobCancelled)
+	}
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// users submit, cancel and poll jobs of all kinds for the given time.
+func (w *world) users(until time.Duration) {
+	n := 0
+	w.every(2*time.Second, func() {
+		if w.now > until {
+			return
+		}
+		n++
+		j := &wire.Job{ID: fmt.Sprintf("run-%06d", n), Class: "c", Team: []string{"red", "blue"}[w.rng.IntN(2)],
+			Shape: wire.ShapeArray, Rank: []string{wire.RankProduction, wire.RankUrgent, wire.RankNormal, wire.RankIdle}[w.rng.IntN(4)],
+			Tasks: 1 + w.rng.IntN(8), CPUs: float64(1 + w.rng.IntN(4)), MemoryGB: 2,
+			Image: fmt.Sprintf("img-%d", w.rng.IntN(4)), ImageGB: 1, Spot: w.rng.IntN(2) == 0, EstimateS: 8,
+			Together: w.rng.IntN(5) == 0, Scatter: w.rng.IntN(5) == 0}
+		if j.Together {
+			j.Scatter = false
+		}
+		if w.rng.IntN(6) == 0 {
+			j.Shape, j.Tasks, j.EstimateS = wire.ShapeService, 1+w.rng.IntN(3), 0
+			id := j.ID
+			w.after(time.Duration(10+w.rng.IntN(60))*time.Second, func() { w.cancel(id) })
+		}
+		if w.rng.IntN(5) == 0 {
+			j.CheckpointS, j.SaveS = 2, 3
+		}
+		if w.rng.IntN(3) == 0 {
+			due := float64(20 + w.rng.IntN(60))
+			j.DueS = &due
+		}
+		if w.rng.IntN(8) == 0 {
+			id := j.ID
+			w.after(time.Duration(w.rng.IntN(20))*time.Second, func() { w.cancel(id) })
+		}
+		w.submit(j)
+	})
+	w.every(time.Second, func() {
+		for _, j := range w.jobs {
+			w.poll(j.ID)
+		}
+	})
+}
+
+// troubles brings crashes, cuts, outages and refusals until the given time.
+func (w *world) troubles(until time.Duration) {
+	w.every(8*time.Second, func() {
+		if w.now > until {
+			return
+		}
+		node := w.nodes[w.rng.IntN(len(w.nodes))]
+		machine := w.names[w.rng.IntN(len(w.names))]
+		long := time.Duration(1+w.rng.IntN(20)) * time.Second
+		switch w.rng.IntN(8) {
+		case 0:
+			node.crash(time.Duration(w.rng.IntN(4000)) * time.Millisecond)
+		case 1:
+			for _, n := range w.nodes {
+				n.crash(time.Duration(w.rng.IntN(4000)) * time.Millisecond)
+			}
+		case 2:
+			node.refused = w.now + long
+		case 3:
+			w.cut[node.name] = w.now + long
+		case 4, 5:
+			w.cut[machine] = w.now + long
+		case 6:
+			w.state.SetDown(w.now, true)
+			w.after(long/2, func() { w.state.SetDown(w.now, false) })
+		case 7:
+			w.cloudDown = true
+			w.after(long, func() { w.cloudDown = false })
+		}
+	})
+	w.after(until, func() { w.trouble = false })
+}
