Gangs, HTTP stand-ins, node tests; no start beside an unforgotten attempt

Found by the simulated world: a late copy of an earlier attempt's start could be carried out again after a newer attempt had replaced it on that machine.

--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,276 @@
+package api_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/api"
+	"github.com/yarrowgap/yarrowgap/internal/config"
+	"github.com/yarrowgap/yarrowgap/internal/node"
+	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/standin"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// cluster is a few real controllers against the stand-ins, all on loopback.
+type cluster struct {
+	t     *testing.T
+	site  *standin.Site
+	addrs []string
+	stops []func()
+}
+
+func listen(t *testing.T) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func start(t *testing.T, size int) *cluster {
+	c := &cluster{t: t}
+	ctx, cancel := context.WithCancel(context.Background())
+	var users, peers []net.Listener
+	nodes := map[string]string{}
+	for i := range size {
+		users, peers = append(users, listen(t)), append(peers, listen(t))
+		c.addrs = append(c.addrs, users[i].Addr().String())
+		nodes[fmt.Sprintf("drover-%d", i)] = c.addrs[i]
+	}
+	types := []wire.MachineType{{Name: "box", CPUs: 4, MemoryGB: 16, CacheGB: 40, FetchGBs: 50, Price: 1, SpotCost: 0.4, BootS: 0.2, Zones: []string{"a"}}}
+	c.site = standin.NewSite(types, map[string]float64{"crew": 8}, nodes, 200*time.Millisecond, 200*time.Millisecond, 12*time.Second)
+	state, cloud := httptest.NewServer(c.site.State()), httptest.NewServer(c.site.Cloud(ctx))
+	for i := range size {
+		var b strings.Builder
+		fmt.Fprintf(&b, "node = \"drover-%d\"\ndomain = \"a\"\nbind = %q\nmesh_addr = %q\n", i, c.addrs[i], peers[i].Addr())
+		for k := range size {
+			if k != i {
+				fmt.Fprintf(&b, "[[seeds]]\nnode = \"drover-%d\"\ndomain = \"a\"\naddr = %q\n", k, peers[k].Addr())
+			}
+		}
+		fmt.Fprintf(&b, "[outside]\nstate = %q\ncloud = %q\n", state.Listener.Addr(), cloud.Listener.Addr())
+		b.WriteString(`[deployment]
+size = 2
+zones = ["a"]
+clock_error_ms = 25.0
+[[deployment.teams]]
+name = "crew"
+cpus = 4.0
+cpus_max = 8.0
+[deployment.workers]
+report_s = 0.5
+lease_s = 12.0
+cancel_s = 40.0
+[deployment.state]
+rps = 2000.0
+write_rps = 500.0
+value_kb = 4.0
+txn_ops = 12
+[deployment.cloud]
+rps = 50.0
+list_lag_s = 1.0
+`)
+		cfg, err := config.Parse([]byte(b.String()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		log := slog.New(slog.NewTextHandler(io.Discard, nil))
+		n := node.New(cfg, policy.Defaults(false), log)
+		nctx, stop := context.WithCancel(ctx)
+		us, ps := &http.Server{Handler: api.New(n, log)}, &http.Server{Handler: api.NewMesh(n, log)}
+		go func() { _ = us.Serve(users[i]) }()
+		go func() { _ = ps.Serve(peers[i]) }()
+		done := make(chan struct{})
+		go func() { n.Run(nctx); close(done) }()
+		c.stops = append(c.stops, func() { us.Close(); ps.Close(); stop(); <-done })
+	}
+	t.Cleanup(func() {
+		for _, s := range c.stops {
+			s()
+		}
+		cancel()
+		state.CloseClientConnections()
+		state.Close()
+		cloud.Close()
+	})
+	return c
+}
+
+// do makes a request of node i; status 0 means no answer.
+func (c *cluster) do(i int, method, path string, body []byte) (int, wire.JobView, http.Header) {
+	req, err := http.NewRequest(method, "http://"+c.addrs[i]+path, bytes.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, wire.JobView{}, nil
+	}
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	var v wire.JobView
+	_ = wire.Unmarshal(b, &v)
+	return resp.StatusCode, v, resp.Header
+}
+
+// until repeats f until it holds. The bound only ends a test that has failed.
+func (c *cluster) until(what string, f func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(60 * time.Second); !f(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			c.t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+func job(n, tasks int) *wire.Job {
+	return &wire.Job{ID: fmt.Sprintf("run-%06d", n), Class: "c", Team: "crew", Shape: wire.ShapeArray, Rank: wire.RankNormal,
+		Tasks: tasks, CPUs: 1, MemoryGB: 1, Image: "img", ImageGB: 0.1}
+}
+
+func body(t *testing.T, j *wire.Job) []byte {
+	b, err := standin.Submission(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// A job's whole life, through two nodes, across the end of the leader; and what
+// users were told stays true.
+func TestJobLifeAcrossFailover(t *testing.T) {
+	c := start(t, 2)
+	first := job(1, 6)
+	c.site.Upload(first, 50*time.Millisecond)
+	c.until("acceptance", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, first)); return s == 201 })
+	c.until("completion", func() bool { _, v, _ := c.do(1, "GET", "/v2/runs/run-000001", nil); return v.State == wire.JobDone })
+
+	service := job(2, 2)
+	service.Shape, service.Rank = wire.ShapeService, wire.RankProduction
+	c.site.Upload(service, 0)
+	c.until("service accepted", func() bool { s, _, _ := c.do(1, "POST", "/v2/runs", body(t, service)); return s == 201 })
+	c.until("replicas", func() bool { _, v, _ := c.do(0, "GET", "/v2/runs/run-000002", nil); return v.Running == 2 })
+
+	leader := 0
+	c.until("a leader", func() bool {
+		for i := range c.addrs {
+			if s, _, _ := c.do(i, "GET", "/yarrowgap/v1/machines", nil); s == 200 {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	c.stops[leader]()
+	c.stops[leader] = func() {}
+	other := 1 - leader
+	long := job(3, 3)
+	c.site.Upload(long, 50*time.Millisecond)
+	c.until("work under the new leader", func() bool {
+		c.do(other, "POST", "/v2/runs", body(t, long))
+		_, v, _ := c.do(other, "GET", "/v2/runs/run-000003", nil)
+		return v.State == wire.JobDone
+	})
+	if s, v, _ := c.do(other, "GET", "/v2/runs/run-000001", nil); s != 200 || v.State != wire.JobDone {
+		t.Errorf("a done job is now %d %q", s, v.State)
+	}
+	if s, v, _ := c.do(other, "POST", "/v2/runs", body(t, first)); s != 200 || v.State != wire.JobDone {
+		t.Errorf("its repeated submission gets %d %q", s, v.State)
+	}
+	c.until("cancellation", func() bool {
+		s, v, _ := c.do(other, "POST", "/v2/runs/run-000002/withdraw", nil)
+		return s == 200 && v.State == wire.JobCancelled
+	})
+	if _, v, _ := c.do(other, "GET", "/v2/runs/run-000002", nil); v.State != wire.JobCancelled {
+		t.Errorf("a cancelled job is now %q", v.State)
+	}
+	if b := c.site.Broken(); len(b) > 0 {
+		t.Error(b)
+	}
+}
+
+// What is wrong with a request is said at once, in the protocol's statuses.
+func TestStatuses(t *testing.T) {
+	c := start(t, 1)
+	good := job(10, 2)
+	c.site.Upload(good, time.Hour)
+	c.until("acceptance", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, good)); return s == 201 })
+	changed := job(10, 2)
+	changed.Team = "nobody"
+	bad := func(mutate func(*wire.Job)) []byte {
+		j := job(11, 1)
+		mutate(j)
+		return body(t, j)
+	}
+	deep := append(bytes.Repeat([]byte{0xa1, 0x61, 'a'}, 2000), 0xf6)
+	due := 5.0
+	for _, tc := range []struct {
+		name, method, path string
+		body               []byte
+		want               []int
+	}{
+		{"repeated", "POST", "/v2/runs", body(t, good), []int{200}},
+		{"repeated with another body", "POST", "/v2/runs", body(t, changed), []int{200}},
+		{"empty", "POST", "/v2/runs", nil, []int{400}},
+		{"not a map", "POST", "/v2/runs", []byte{0x83, 1, 2, 3}, []int{400}},
+		{"cut off", "POST", "/v2/runs", body(t, job(11, 1))[:40], []int{400}},
+		{"too deep", "POST", "/v2/runs", deep, []int{400}},
+		{"too large", "POST", "/v2/runs", append(body(t, job(11, 1)), make([]byte, 70<<10)...), []int{400, 413}},
+		{"no tasks", "POST", "/v2/runs", bad(func(j *wire.Job) { j.Tasks = 0 }), []int{400}},
+		{"too many tasks", "POST", "/v2/runs", bad(func(j *wire.Job) { j.Tasks = 100001 }), []int{400}},
+		{"negative", "POST", "/v2/runs", bad(func(j *wire.Job) { j.CPUs = -1 }), []int{400}},
+		{"malformed id", "POST", "/v2/runs", bad(func(j *wire.Job) { j.ID = "walk-000001" }), []int{400}},
+		{"unknown rank", "POST", "/v2/runs", bad(func(j *wire.Job) { j.Rank = "high" }), []int{400}},
+		{"unknown team", "POST", "/v2/runs", bad(func(j *wire.Job) { j.Team = "nobody" }), []int{422}},
+		{"fits no machine", "POST", "/v2/runs", bad(func(j *wire.Job) { j.MemoryGB = 99 }), []int{422}},
+		{"no such type", "POST", "/v2/runs", bad(func(j *wire.Job) { j.Types = []string{"barge"} }), []int{422}},
+		{"service over the limit", "POST", "/v2/runs", bad(func(j *wire.Job) { j.Shape, j.Tasks = wire.ShapeService, 9 }), []int{422}},
+		{"array over the limit", "POST", "/v2/runs", bad(func(j *wire.Job) { j.Tasks, j.DueS = 9, &due }), []int{201}},
+		{"unknown job", "GET", "/v2/runs/run-999999", nil, []int{404}},
+		{"unknown job withdrawn", "POST", "/v2/runs/run-999999/withdraw", nil, []int{404}},
+		{"no job's id", "GET", "/v2/runs/walk", nil, []int{404}},
+		{"malformed report", "POST", "/checkin", []byte{0xa0}, []int{400}},
+		{"health", "GET", "/healthz", nil, []int{200}},
+	} {
+		got, _, _ := c.do(0, tc.method, tc.path, tc.body)
+		ok := false
+		for _, w := range tc.want {
+			ok = ok || got == w
+		}
+		if !ok {
+			t.Errorf("%s: %d, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// While the state service refuses everybody, nothing is promised: new work and
+// open questions get 503 with Retry-After, and what has ended is still known.
+func TestOutageIsSaidAtOnce(t *testing.T) {
+	c := start(t, 1)
+	j := job(20, 1)
+	c.site.Upload(j, 0)
+	c.until("acceptance", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, j)); return s == 201 })
+	c.until("completion", func() bool { _, v, _ := c.do(0, "GET", "/v2/runs/run-000020", nil); return v.State == wire.JobDone })
+	c.site.Refuse(true)
+	if s, v, _ := c.do(0, "GET", "/v2/runs/run-000020", nil); s != 200 || v.State != wire.JobDone {
+		t.Errorf("ended job: %d %q", s, v.State)
+	}
+	for _, q := range []struct{ method, path string }{{"POST", "/v2/runs"}, {"GET", "/v2/runs/run-000021"}, {"POST", "/v2/runs/run-000021/withdraw"}} {
+		s, _, h := c.do(0, q.method, q.path, body(t, job(21, 1)))
+		if s != 503 || h.Get("Retry-After") == "" {
+			t.Errorf("%s %s: %d, Retry-After %q", q.method, q.path, s, h.Get("Retry-After"))
+		}
+	}
+	c.site.Refuse(false)
+	c.until("service again", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, job(21, 1))); return s == 201 || s == 200 })
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -29,7 +29,21 @@
 		budget := l.teamRoom(j)
 		tries := min(n, budget)
 		placed := 0
-		for placed < tries {
+		if j.spec.Gang() {
+			switch {
+			case j.stopping():
+				j.why = "its gang is being stopped"
+				continue
+			case tries < n:
+				j.why = "its team is at its limit"
+				continue
+			case l.placeGang(j, n):
+				j.why = ""
+				continue
+			}
+			tries = n
+		}
+		for placed < tries && !j.spec.Gang() {
 			m := l.choose(j)
 			if m == nil {
 				break
@@ -59,6 +73,45 @@
 	return left
 }
 
+// stopping reports whether any attempt of the job is being stopped.
+func (j *job) stopping() bool {
+	for _, list := range j.active {
+		for _, a := range list {
+			if a.halt {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// placeGang places all waiting members of a gang, or none.
+func (l *Leader) placeGang(j *job, n int) bool {
+	var placed []*attempt
+	for range n {
+		m := l.choose(j)
+		if m == nil {
+			break
+		}
+		i, ok := j.nextFree()
+		if !ok {
+			break
+		}
+		placed = append(placed, l.enter(j, i, m))
+	}
+	if len(placed) < n {
+		for _, a := range placed {
+			l.detach(a)
+		}
+		l.dirtyPlace = false // nothing has changed
+		return false
+	}
+	for _, a := range placed {
+		l.touch(a.m, true)
+	}
+	return true
+}
+
 // queue orders the jobs that wait: production first, then what fits its team's
 // guarantee, then by rank and by how little time is left.
 func (l *Leader) queue() []*job {
@@ -280,6 +333,12 @@
 
 // assign places a task. Nothing is sent before the machine's record has it.
 func (l *Leader) assign(j *job, index int, m *machine) {
+	l.enter(j, index, m)
+	l.touch(m, true)
+	l.line(true, "placed", "task", wire.TaskName(j.id, index), "machine", m.name, "warm", m.has(j.spec.Image))
+}
+
+func (l *Leader) enter(j *job, index int, m *machine) *attempt {
 	l.nextTry++
 	a := &attempt{
 		ref: taskRef{j.id, index}, job: j, m: m,
@@ -288,8 +347,7 @@
 		placedAt: l.now.Mono,
 	}
 	l.attach(a)
-	l.touch(m, true)
-	l.line(true, "placed", "task", wire.TaskName(j.id, index), "machine", m.name, "warm", m.has(j.spec.Image))
+	return a
 }
 
 // mayPreempt reports whether the victim's end is a reason the rules know.
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -224,6 +224,7 @@
 	if a.state == t.State {
 		return
 	}
+	l.line(true, "task state", "task", t.Task, "machine", a.m.name, "state", t.State)
 	if a.job != nil {
 		if a.state == wire.TaskRunning {
 			a.job.running--
@@ -306,6 +307,13 @@
 		return
 	}
 	l.count.Retried++
+	if j.spec.Gang() {
+		// The others wait for this one in vain: they stop, and the gang queues
+		// again as a whole.
+		for _, b := range j.attempts() {
+			l.stop(b, false, "a member of its gang ended")
+		}
+	}
 	switch cause {
 	case wire.CauseError:
 		j.failures++
@@ -488,6 +496,12 @@
 		if a.sent && a.firstSent == 0 {
 			continue // an earlier leader's: its fate has to be proven first
 		}
+		if e, ok := m.exited[a.ref]; ok && e.attempt != a.number {
+			// An ended attempt of the same task has to be forgotten first, under
+			// a higher token: else a late copy of its start could be taken for a
+			// new one once this attempt has replaced it.
+			continue
+		}
 		out = append(out, a)
 	}
 	return out
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -554,6 +554,9 @@
 			id := j.ID
 			w.after(time.Duration(10+w.rng.IntN(60))*time.Second, func() { w.cancel(id) })
 		}
+		if j.Shape == wire.ShapeArray && w.rng.IntN(6) == 0 {
+			j.Shape, j.Tasks = wire.ShapeGang, 1+w.rng.IntN(4)
+		}
 		if w.rng.IntN(5) == 0 {
 			j.CheckpointS, j.SaveS = 2, 3
 		}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -222,6 +222,7 @@
 				return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: v.State}}
 			}
 		}
+		n.log.Info("submission refused", "status", http.StatusBadRequest, "why", err.Error())
 		return refuse(http.StatusBadRequest, err.Error())
 	}
 	fwd := mesh.Forward{Kind: mesh.Submit, Body: mesh.Text(body)}
@@ -239,6 +240,7 @@
 		case verdict.Status == http.StatusServiceUnavailable && !forwarded:
 			return n.pass(false, fwd, errors.New(verdict.Error))
 		}
+		n.log.Info("submission refused", "job", job.ID, "status", verdict.Status, "why", verdict.Error)
 		return verdict
 	}
 	job.CreatedMilli = time.Now().UnixMilli()
@@ -280,7 +282,7 @@
 	never := func(why string) Answer { return refuse(http.StatusUnprocessableEntity, why) }
 	d := &n.cfg.Deployment
 	tasks := 1.0
-	if j.Service() {
+	if j.Service() || j.Gang() {
 		tasks = float64(j.Tasks)
 	}
 	known := false
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -33,8 +33,7 @@
 	serial  int
 	runFor  map[string]time.Duration // job -> run time of its tasks
 
-	// StateRefuses makes the state service refuse everybody.
-	StateRefuses bool
+	refuses bool // the state service refuses everybody
 }
 
 // NewSite makes a site. nodes are the controllers, by name.
@@ -52,6 +51,14 @@
 	return append([]string(nil), s.rules.Broken...)
 }
 
+// Refuse makes the state service refuse everybody, or ends that.
+func (s *Site) Refuse(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuses = on
+	s.state.SetDown(s.now(), on)
+}
+
 // Upload makes a job's description known to the workers, as its user does.
 func (s *Site) Upload(j *wire.Job, runFor time.Duration) {
 	s.mu.Lock()
@@ -85,7 +92,7 @@
 		return func(w http.ResponseWriter, r *http.Request) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if s.StateRefuses {
+			if s.refuses {
 				reply(w, 503, wire.Error{Error: "down"})
 				return
 			}
@@ -155,7 +162,7 @@
 		for {
 			s.mu.Lock()
 			c, ok := s.state.Changes(s.now(), q.Get("starts"), from)
-			down := s.StateRefuses
+			down := s.refuses
 			s.mu.Unlock()
 			switch {
 			case !down && !ok:
@@ -351,3 +358,13 @@
 		return true
 	}
 }
+
+// Submission encodes a job as users send it, with every field.
+func Submission(j *wire.Job) ([]byte, error) {
+	return wire.Marshal(map[string]any{
+		"uid": j.ID, "docket": j.Class, "crew": j.Team, "shape": j.Shape, "rank": j.Rank, "shifts": j.Tasks,
+		"cpus": j.CPUs, "gpus": j.GPUs, "memory_gb": j.MemoryGB, "kit": j.Image, "pull_gb": j.ImageGB,
+		"breeds": j.Types, "pasture": nil, "together": j.Together, "scatter": j.Scatter, "loaners": j.Spot,
+		"reckon_s": j.EstimateS, "tally_s": j.CheckpointS, "stow_s": j.SaveS, "due_s": j.DueS,
+	})
+}
--- a/wire/job.go
+++ b/wire/job.go
@@ -9,6 +9,7 @@
 const (
 	ShapeArray   = "batch"
 	ShapeService = "daemon"
+	ShapeGang    = "gang" // tasks that run at the same time, or not at all
 )
 
 // Priorities, highest first.
@@ -66,6 +67,9 @@
 // Service reports whether the job's tasks run until it is cancelled.
 func (j *Job) Service() bool { return j.Shape == ShapeService }
 
+// Gang reports whether the job's tasks run at the same time or not at all.
+func (j *Job) Gang() bool { return j.Shape == ShapeGang }
+
 // jobBody is a submission as received: null and omitted are the same.
 type jobBody struct {
 	ID          *string  `cbor:"uid"`
@@ -162,12 +166,12 @@
 	j.Class = text("docket", b.Class, true)
 	j.Team = text("crew", b.Team, true)
 	j.Shape = text("shape", b.Shape, true)
-	if err == nil && j.Shape != ShapeArray && j.Shape != ShapeService {
-		fail("shape", "unknown")
+	if err == nil && j.Shape != ShapeArray && j.Shape != ShapeService && j.Shape != ShapeGang {
+		fail("shape", fmt.Sprintf("unknown: %q", j.Shape))
 	}
 	j.Rank = text("rank", b.Rank, true)
 	if err == nil && RankOrder(j.Rank) < 0 {
-		fail("rank", "unknown")
+		fail("rank", fmt.Sprintf("unknown: %q", j.Rank))
 	}
 	if b.Tasks == nil {
 		fail("shifts", "missing")
