--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
 // Peer is another controller node.
@@ -190,12 +192,23 @@
 // Seconds turns a duration of the settings into one of Go's.
 func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Thrifty reports whether the deployment aims at price or useful work.
+// Thrifty reports whether renting should economise: if price or useful work is
+// an aim, or if the aims on starts are loose. The settings restate the aims on
+// starting and finishing alone, so the looseness of those is the sign that a
+// deployment has: one that lets a tenth of its starts be late does not ask for
+// capacity that stands ready.
 func (s *Settings) Thrifty() bool {
+	starts, loose := 0, 0
 	for _, o := range s.Deployment.Objectives {
-		if o.Kind == "price" || o.Kind == "useful" {
+		switch o.Kind {
+		case "price", "useful":
 			return true
+		case "wait", "guarantee":
+			starts++
+			if o.Share < tuning.LooseShare {
+				loose++
+			}
 		}
 	}
-	return false
+	return starts > 0 && loose == starts
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -150,6 +150,9 @@
 	// SpareShare is the spare capacity kept where price is no aim, as a share
 	// of what is in use.
 	SpareShare = 0.5
+	// LooseShare is the share of starts in time under which an aim on starts
+	// counts as loose, and spare capacity is not kept for it.
+	LooseShare = 0.9
 	// SpareShareThrift is the same where it is one.
 	SpareShareThrift = 0.0
 )
