Plan deadlines by Moore's rule; learn run times from a job's own tasks

Cause: arrays that could not be on time any more held their team's limit and the full cluster while smaller ones became late behind them.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -32,6 +32,10 @@
 		l.out.Resign = "no worker reaches this node"
 	}
 	l.returnMachines()
+	if now.Mono-l.loadAt >= tuning.LoadLine {
+		l.loadAt = now.Mono
+		l.logLoad()
+	}
 	if now.Mono-l.placedAt >= time.Second {
 		l.dirtyPlace = true // capacity may be offered again, machines heard again
 	}
@@ -60,6 +64,19 @@
 	}
 }
 
+// logLoad says how full the cluster is and what waits for what.
+func (l *Leader) logLoad() {
+	used, total := l.capacity()
+	why := map[string]int{}
+	for _, j := range l.jobs {
+		if n := j.pending(); n > 0 {
+			why[j.why] += n
+		}
+	}
+	l.line(true, "load", "cpus_used", used, "cpus_total", total, "machines", len(l.machines), "jobs", len(l.jobs),
+		"no_room", why["no machine has room"], "team_limit", why["its team is at its limit"], "other", why[""])
+}
+
 // Unsettled reports whether placement waits for its gap to pass.
 func (l *Leader) Unsettled() bool { return l.dirtyPlace }
 
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -212,8 +212,12 @@
 	retryAt  time.Duration
 	why      string // why it waits, for people
 
-	within bool    // inside its team's guarantee, as of the last round
-	slack  float64 // seconds, as of the last round
+	seenRuns int     // tasks seen from their start to their completion
+	seenRunS float64 // the time that these ran, in seconds
+
+	hopeful bool    // can still meet its deadline, as of the last round
+	within  bool    // inside its team's guarantee, as of the last round
+	slack   float64 // seconds, as of the last round
 }
 
 func (j *job) pending() int {
@@ -271,6 +275,7 @@
 
 	dirtyPlace bool
 	placedAt   time.Duration
+	loadAt     time.Duration
 	listed     bool // the cloud's list was read in this term
 	heardAny   time.Duration
 	startedAt  time.Duration
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -143,14 +143,11 @@
 			gpus += n * j.spec.GPUs
 		}
 	}
+	l.planDeadlines()
 	for _, j := range out {
 		j.slack = math.Inf(1)
 		if j.spec.DueS != nil {
-			age := (l.now.Mono - j.created).Seconds()
-			j.slack = *j.spec.DueS - age - j.spec.EstimateS
-			if j.slack+j.spec.EstimateS < 0 {
-				j.slack = 1e6 // late already: those that can still make it go first
-			}
+			j.slack = l.due(j) - j.duration()
 		}
 	}
 	sort.Slice(out, func(a, b int) bool {
@@ -164,6 +161,9 @@
 		if x.rank != y.rank {
 			return x.rank < y.rank
 		}
+		if x.hopeful != y.hopeful {
+			return x.hopeful
+		}
 		if x.slack != y.slack {
 			return x.slack < y.slack
 		}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -283,6 +283,10 @@
 	if t.Cause != wire.CauseDone {
 		l.ended(a, t.Cause)
 	} else if j != nil {
+		if a.runningAt > 0 {
+			j.seenRuns++
+			j.seenRunS += (l.now.Mono - a.runningAt).Seconds()
+		}
 		j.failures = 0
 		l.taskDone(j, a.ref.index)
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -116,6 +116,9 @@
 	// RefusalPause keeps a machine from new starts after it refused one as
 	// full: its picture and ours differ until its next report.
 	RefusalPause = 2 * time.Second
+	// RunsToTrust is how many completed tasks of a job outweigh its owner's
+	// estimate. The first to complete are the shortest, so a few are needed.
+	RunsToTrust = 5
 	// FailuresKept is how many failed attempts stay queryable.
 	FailuresKept = 500
 )
@@ -183,6 +186,8 @@
 	// TickEvery is the pace of the leader's housekeeping. Everything urgent is
 	// done when its event arrives.
 	TickEvery = 200 * time.Millisecond
+	// LoadLine is the interval of the line on the cluster's load, at debug.
+	LoadLine = 10 * time.Second
 	// PlaceGap is the least time between two placement rounds, to batch
 	// arrivals and finished tasks.
 	PlaceGap = 15 * time.Millisecond
