Make room for services on machines that have their image

Cause: services were placed where an image had to be fetched while machines that had it were full of lower work.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -45,7 +45,7 @@
 		}
 		for placed < tries && !j.spec.Gang() {
 			m := l.choose(j)
-			if m == nil {
+			if m == nil || l.holdForWarm(j, m, claimed) {
 				break
 			}
 			i, ok := j.nextFree()
@@ -59,7 +59,7 @@
 		if rest > 0 {
 			j.why = "no machine has room"
 			for k := 0; k < rest; k++ {
-				if !l.preempt(j, claimed) {
+				if !l.preempt(j, claimed, false) {
 					break
 				}
 			}
@@ -73,6 +73,19 @@
 	return left
 }
 
+// holdForWarm reports whether a production service had better wait a moment for
+// room on a machine that has its image than fetch it on m: lower work is stopped
+// there, which takes a few tens of milliseconds where a fetch takes seconds.
+func (l *Leader) holdForWarm(j *job, m *machine, claimed map[*machine]float64) bool {
+	if !j.service || j.rank > 0 || m.has(j.spec.Image) || j.spec.ImageGB/max(m.mt.FetchGBs, 0.01) < tuning.WorthWarm {
+		return false
+	}
+	if l.now.Mono-j.created > tuning.WarmWait {
+		return false
+	}
+	return l.preempt(j, claimed, true)
+}
+
 // stopping reports whether any attempt of the job is being stopped.
 func (j *job) stopping() bool {
 	for _, list := range j.active {
@@ -370,7 +383,7 @@
 // preempt makes room for one task of the job, where it may: work of lower
 // priority, or what another team has beyond its guarantee. What was started
 // last is stopped first, since it loses least.
-func (l *Leader) preempt(j *job, claimed map[*machine]float64) bool {
+func (l *Leader) preempt(j *job, claimed map[*machine]float64, warm bool) bool {
 	if !l.cfg.Policy.Preempt || !j.within && j.rank > 0 {
 		return false
 	}
@@ -385,6 +398,9 @@
 		if !l.usable(m) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.blocked() || m.suspect > l.now.Mono {
 			continue
 		}
+		if warm && !m.has(j.spec.Image) {
+			continue
+		}
 		if j.spec.CPUs > m.mt.CPUs || j.spec.GPUs > m.mt.GPUs || j.spec.MemoryGB > m.mt.MemoryGB {
 			continue
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -116,6 +116,13 @@
 	// RefusalPause keeps a machine from new starts after it refused one as
 	// full: its picture and ours differ until its next report.
 	RefusalPause = 2 * time.Second
+	// WorthWarm is how long an image's fetch has to take, in seconds, before
+	// lower work is stopped on a machine that has the image. Its loss is at
+	// most what it ran so far.
+	WorthWarm = 0.5
+	// WarmWait is how long a service waits for such room before it takes what
+	// there is. Starts are wanted within a second; stops take milliseconds.
+	WarmWait = 2 * time.Second
 	// RunsToTrust is how many completed tasks of a job outweigh its owner's
 	// estimate. The first to complete are the shortest, so a few are needed.
 	RunsToTrust = 5
