--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -279,6 +279,11 @@
 		if !l.usable(m) || !m.fits(j) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.blocked() || !l.recordRoom(m) {
 			continue
 		}
+		if !j.service && !m.has(j.spec.Image) && m.fetchingOther(j.spec.Image) {
+			// Fetches side by side share the machine's rate: one after the
+			// other, the first is there sooner and the last no later.
+			continue
+		}
 		s := l.score(j, m, z)
 		if s < bestScore || s == bestScore && m.name < best.name {
 			best, bestScore = m, s
@@ -287,6 +292,16 @@
 	return best
 }
 
+// fetchingOther reports whether the machine fetches an image other than this.
+func (m *machine) fetchingOther(name string) bool {
+	for _, a := range m.tasks {
+		if a.job != nil && !a.halt && a.state != wire.TaskRunning && a.job.spec.Image != name && !m.has(a.job.spec.Image) {
+			return true
+		}
+	}
+	return false
+}
+
 // score is how many seconds, or their worth, a task loses on the machine.
 func (l *Leader) score(j *job, m *machine, z map[string]int) float64 {
 	s := 0.0
