Stop lower work for a warm start only where the start would go

Cause: two services at the cold start had room made 161 times on machines that the choice then passed over.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -577,7 +577,7 @@
 		case c.Live != nil && j == nil:
 			j = l.addJob(c.Live)
 			l.dirtyPlace = true
-			l.line(true, "job seen", "job", j.id, "class", j.spec.Class, "tasks", j.spec.Tasks)
+			l.line(true, "job seen", "job", j.id, "class", j.spec.Class, "tasks", j.spec.Tasks, "team", j.spec.Team, "estimate_s", j.spec.EstimateS, "due_s", dueOf(&j.spec))
 		case c.Live != nil && c.Live.Stamp > j.stamp:
 			j.stamp = c.Live.Stamp
 			l.mergeDone(j, 0, c.Live.Record.Done)
@@ -603,6 +603,13 @@
 	l.JobsChanged(now, touched)
 }
 
+func dueOf(s *wire.Job) float64 {
+	if s.DueS == nil {
+		return -1
+	}
+	return *s.DueS
+}
+
 func (l *Leader) cancelJob(j *job) {
 	j.cancelled = true
 	l.dirtyPlace = true
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -59,7 +59,7 @@
 		if rest > 0 {
 			j.why = "no machine has room"
 			for k := 0; k < rest; k++ {
-				if !l.preempt(j, claimed, false) {
+				if !l.preempt(j, claimed, math.Inf(1)) {
 					break
 				}
 			}
@@ -83,7 +83,9 @@
 	if l.now.Mono-j.created > tuning.WarmWait {
 		return false
 	}
-	return l.preempt(j, claimed, true)
+	// Only where the task would then really go, or the room is made in vain,
+	// again and again.
+	return l.preempt(j, claimed, l.score(j, m, j.zones()))
 }
 
 // stopping reports whether any attempt of the job is being stopped.
@@ -397,8 +399,9 @@
 
 // preempt makes room for one task of the job, where it may: work of lower
 // priority, or what another team has beyond its guarantee. What was started
-// last is stopped first, since it loses least.
-func (l *Leader) preempt(j *job, claimed map[*machine]float64, warm bool) bool {
+// last is stopped first, since it loses least. With a finite below, only machines
+// that have the image and score better than that are considered.
+func (l *Leader) preempt(j *job, claimed map[*machine]float64, below float64) bool {
 	if !l.cfg.Policy.Preempt || !j.within && j.rank > 0 {
 		return false
 	}
@@ -413,7 +416,7 @@
 		if !l.usable(m) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.blocked() || m.suspect > l.now.Mono {
 			continue
 		}
-		if warm && !m.has(j.spec.Image) {
+		if !math.IsInf(below, 1) && (!m.has(j.spec.Image) || l.score(j, m, z) >= below) {
 			continue
 		}
 		if j.spec.CPUs > m.mt.CPUs || j.spec.GPUs > m.mt.GPUs || j.spec.MemoryGB > m.mt.MemoryGB {
