--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -212,3 +212,18 @@
 	}
 	return starts > 0 && loose == starts
 }
+
+// GuaranteeWithin is how soon work within a guarantee should start: the
+// tightest of the aims on that, or a default.
+func (s *Settings) GuaranteeWithin() time.Duration {
+	d := time.Duration(0)
+	for _, o := range s.Deployment.Objectives {
+		if w := Seconds(o.WithinS); o.Kind == "guarantee" && w > 0 && (d == 0 || w < d) {
+			d = w
+		}
+	}
+	if d == 0 {
+		return tuning.GuaranteeWithin
+	}
+	return d
+}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -43,7 +43,9 @@
 	ValueBytes int
 	WriteRate  float64
 	Thrifty    bool
-	Policy     policy.Settings
+	// GuaranteeWithin is how soon work within a guarantee should start.
+	GuaranteeWithin time.Duration
+	Policy          policy.Settings
 }
 
 // Effects are what the node has to do after an input.
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"sort"
-	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
@@ -405,8 +404,8 @@
 	if !l.cfg.Policy.Preempt || !j.within && j.rank > 0 {
 		return false
 	}
-	if j.rank > 0 && l.now.Mono-j.created < time.Second {
-		return false
+	if j.rank > 0 && l.now.Mono-j.created < l.cfg.GuaranteeWithin/2 {
+		return false // room may come by itself, and what is stopped is lost
 	}
 	z := j.zones()
 	var best *machine
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -225,7 +225,7 @@
 		Teams: map[string]core.Team{}, Zones: d.Zones,
 		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
-		Thrifty: n.cfg.Thrifty(), Policy: n.policy,
+		Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(), Policy: n.policy,
 	}
 	for _, t := range d.Teams {
 		s.Teams[t.Name] = core.Team{CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -116,6 +116,10 @@
 	// RefusalPause keeps a machine from new starts after it refused one as
 	// full: its picture and ours differ until its next report.
 	RefusalPause = 2 * time.Second
+	// GuaranteeWithin is how soon work within a guarantee should start where
+	// the deployment does not say. For half of it, room may come by itself;
+	// then borrowed work is stopped.
+	GuaranteeWithin = 5 * time.Second
 	// WorthWarm is how long an image's fetch has to take, in seconds, before
 	// lower work is stopped on a machine that has the image. Its loss is at
 	// most what it ran so far.
