--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -342,7 +342,15 @@
 	if j.service {
 		// Replicas apart from each other, and services apart from services,
 		// so that one machine's end costs little.
-		s += 2*float64(same) + 0.1*float64(services) + 0.3*float64(z[m.zone])
+		s += 2*float64(same) + 0.3*float64(z[m.zone])
+		if l.cfg.Thrifty {
+			// Here services share machines, or each blocks one for large tasks.
+			if services == 0 {
+				s++
+			}
+		} else {
+			s += 0.1 * float64(services)
+		}
 		if m.spot {
 			s += 5
 		}
