--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -214,12 +214,21 @@
 		return "unrelated jobs fail there"
 	}
 	if len(m.tasks) == 0 && m.leaveBy == 0 && !l.dirtyPlace && quiet < l.cfg.Report*2 &&
-		now-max(m.idleSince, m.upAt) > l.cfg.Policy.IdleRelease && l.spareWithout(m) {
+		now-max(m.idleSince, m.upAt) > l.idleFor(m) && l.spareWithout(m) {
 		return "idle"
 	}
 	return ""
 }
 
+// idleFor is how long a machine may stand idle: longer if it is cheap.
+func (l *Leader) idleFor(m *machine) time.Duration {
+	d := l.cfg.Policy.IdleRelease
+	if m.spot && m.mt != nil && m.mt.SpotCost > 0 {
+		d = time.Duration(float64(d) * max(1, m.mt.Price/m.mt.SpotCost))
+	}
+	return d
+}
+
 // silentZones are the zones in which every machine is silent, while there is
 // more than one: then it is the network, and a node inside may keep them alive.
 func (l *Leader) silentZones() map[string]bool {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -155,10 +155,11 @@
 	// NewcomerGrace is how long a machine without tasks may be unlisted and
 	// silent before it is taken for gone.
 	NewcomerGrace = 20 * time.Second
-	// IdleRelease is how long a machine may stand idle where price or useful
-	// work is an aim. A machine costs at least 60 s, and boots for as long as
-	// this.
-	IdleRelease = 45 * time.Second
+	// IdleRelease is how long an ordinary machine may stand idle where renting
+	// economises; a cheap one longer, by the ratio of the prices. It is about
+	// the time of a boot, which is paid for too. Shorter trades deadlines for
+	// price one for one (docs/limits.md).
+	IdleRelease = 30 * time.Second
 	// IdleReleaseFree is the same where neither is an aim.
 	IdleReleaseFree = 20 * time.Minute
 	// SpareShare is the spare capacity kept where price is no aim, as a share
