--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -126,6 +126,9 @@
 func (l *Leader) Listed(now Now, list []wire.ListedMachine) {
 	l.now = now
 	l.listed = true
+	for _, m := range l.machines {
+		m.missing++
+	}
 	for i := range list {
 		it := &list[i]
 		if l.gone[it.Name] {
@@ -138,10 +141,15 @@
 			l.line(false, "machine adopted from the cloud's list", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot, "state", it.State)
 			l.dirtyPlace = true
 		}
-		m.listedAt = now.Mono
+		m.missing, m.listedOnce = 0, true
 		if m.addr == "" {
 			m.addr = it.Address
 		}
+		if m.phase == booting && it.State == wire.MachineRunning && now.Mono-m.knownAt > l.cfg.Report {
+			// Up before our term, or its first report went elsewhere: ask it.
+			l.markUp(m)
+			l.poke(m)
+		}
 		if it.State == wire.MachineFailed && !m.failed {
 			m.failed = true
 			l.line(false, "machine failed", "machine", m.name, "tasks", len(m.tasks))
@@ -194,7 +202,9 @@
 		if m.failed {
 			return "failed while starting"
 		}
-		if now-m.rentedAt > patience {
+		if now-m.rentedAt > patience && now-m.knownAt > tuning.NewcomerGrace {
+			// The grace is for those that came up before our term: they report
+			// within seconds, and were given back by mistake without it.
 			return "never came up"
 		}
 		return ""
@@ -207,6 +217,11 @@
 	if silentZone[m.zone] {
 		limit = time.Duration(float64(l.cfg.Lease) * tuning.ZoneSilence)
 	}
+	if m.listedOnce && m.missing >= tuning.MissingLists && quiet > l.cfg.Report*2 {
+		// Once listed, a machine stays listed until it is gone, but a list can
+		// be old. So this proves nothing: the answer to the release does.
+		return "silent and no longer listed"
+	}
 	if quiet > limit {
 		return "silent for longer than its lease"
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -104,18 +104,20 @@
 	spot                  bool
 	mt                    *wire.MachineType
 
-	phase     phase
-	rentedAt  time.Duration
-	upAt      time.Duration
-	heardAt   time.Duration // last sign of life
-	idleSince time.Duration
-	leaveBy   time.Duration // when the cloud takes it; 0: not announced
-	askAgain  bool          // its release has to be asked for once more
-	failed    bool          // the cloud says that it has stopped
-	listedAt  time.Duration // last time that the cloud listed it
-	suspect   time.Duration // avoided until then
-	pauseTo   time.Duration // no starts until then
-	failedBy  map[string]bool
+	phase      phase
+	knownAt    time.Duration // when this term first knew of it
+	rentedAt   time.Duration
+	upAt       time.Duration
+	heardAt    time.Duration // last sign of life
+	idleSince  time.Duration
+	leaveBy    time.Duration // when the cloud takes it; 0: not announced
+	askAgain   bool          // its release has to be asked for once more
+	failed     bool          // the cloud says that it has stopped
+	listedOnce bool          // the cloud has listed it in this term
+	missing    int           // lists since the last one that had it
+	suspect    time.Duration // avoided until then
+	pauseTo    time.Duration // no starts until then
+	failedBy   map[string]bool
 
 	// Order of its messages, and what it has seen.
 	session, tick, checkinTick uint64
@@ -446,7 +448,7 @@
 func (l *Leader) addMachine(name, typ, zone string, spot bool, addr string) *machine {
 	m := &machine{
 		name: name, typ: typ, zone: zone, spot: spot, addr: addr, mt: l.types[typ],
-		rentedAt: l.now.Mono, heardAt: l.now.Mono, idleSince: l.now.Mono, listedAt: l.now.Mono,
+		rentedAt: l.now.Mono, knownAt: l.now.Mono, heardAt: l.now.Mono, idleSince: l.now.Mono,
 		tasks: map[taskRef]*attempt{}, exited: map[taskRef]exit{}, failedBy: map[string]bool{},
 	}
 	l.machines[name] = m
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -61,9 +61,7 @@
 		l.line(false, "machine adopted from its report", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot)
 	}
 	if m.phase == booting {
-		m.phase, m.upAt, m.idleSince = up, l.now.Mono, l.now.Mono
-		l.line(false, "machine up", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot,
-			"boot_s", (l.now.Mono - m.rentedAt).Seconds())
+		l.markUp(m)
 	}
 	if m.addr != r.Address {
 		m.addr = r.Address
@@ -71,6 +69,12 @@
 	return m
 }
 
+func (l *Leader) markUp(m *machine) {
+	m.phase, m.upAt, m.idleSince, m.heardAt = up, l.now.Mono, l.now.Mono, l.now.Mono
+	l.line(false, "machine up", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot,
+		"boot_s", (l.now.Mono - m.rentedAt).Seconds())
+}
+
 // provenAbsent reports whether an attempt that the report r does not list is
 // neither on the machine nor can be started there by anything sent before.
 func (l *Leader) provenAbsent(a *attempt, r *wire.Report, checkin bool) bool {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -152,8 +152,8 @@
 	// some machines take several times as long.
 	BootPatience    = 3.0
 	BootPatienceMin = 60 * time.Second
-	// NewcomerGrace is how long a machine without tasks may be unlisted and
-	// silent before it is taken for gone.
+	// NewcomerGrace is how long a new leader waits for the report of a machine
+	// that, by its age, should have come up before.
 	NewcomerGrace = 20 * time.Second
 	// IdleRelease is how long an ordinary machine may stand idle where renting
 	// economises; a cheap one longer, by the ratio of the prices. It is about
@@ -176,8 +176,12 @@
 const (
 	// CloudTimeout bounds one call.
 	CloudTimeout = 6 * time.Second
-	// ListEvery is the interval of full machine lists.
-	ListEvery = 4 * time.Second
+	// ListEvery is the interval of full machine lists. They tell first that a
+	// machine was taken without notice.
+	ListEvery = 2 * time.Second
+	// MissingLists is how many lists in a row a machine has to be missing from
+	// before it is given back for that: one list can be older than the last.
+	MissingLists = 2
 	// TypesEvery is the interval of price and type reads.
 	TypesEvery = 60 * time.Second
 	// CloudRetry is the pause after a refused call, doubled up to CloudRetryMax.
