Room for production under its own team's limit; give silent machines back as their lease ends

Cause: services waited for their own team's arrays, up to 10 s with the cold fetch that followed; and a cut machine's replicas were down for the slack and the call.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -213,7 +213,7 @@
 		return "failed"
 	}
 	quiet := now - m.heardAt
-	limit := l.cfg.Lease + l.cfg.Lease/1000 + tuning.SilentSlack
+	limit := l.cfg.Lease - tuning.ReleaseAhead
 	if silentZone[m.zone] {
 		limit = time.Duration(float64(l.cfg.Lease) * tuning.ZoneSilence)
 	}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -26,6 +26,9 @@
 	for _, j := range queue {
 		n := j.pending()
 		budget := l.teamRoom(j)
+		if budget < n {
+			l.yieldTeam(j, n)
+		}
 		tries := min(n, budget)
 		placed := 0
 		if j.spec.Gang() {
@@ -387,6 +390,56 @@
 	return a
 }
 
+// yieldTeam makes room under its team's limit for a production job, by stopping
+// lower work of the same team: on machines where the job could then start at
+// once, and there what was started last.
+func (l *Leader) yieldTeam(j *job, n int) {
+	if !l.cfg.Policy.Preempt || j.rank > 0 {
+		return
+	}
+	team := l.cfg.Teams[j.spec.Team]
+	u := l.use(j.spec.Team)
+	cpus := u.CPUs + float64(n)*j.spec.CPUs - team.CPUsMax
+	gpus := u.GPUs + float64(n)*j.spec.GPUs - team.GPUsMax
+	var victims []*attempt
+	for _, v := range l.jobs {
+		if v.spec.Team != j.spec.Team || v == j {
+			continue
+		}
+		for _, a := range v.attempts() {
+			if a.halt {
+				cpus -= v.spec.CPUs // room on its way
+				gpus -= v.spec.GPUs
+			} else if v.rank > j.rank {
+				victims = append(victims, a)
+			}
+		}
+	}
+	good := func(a *attempt) bool {
+		return l.usable(a.m) && j.allows(a.m.typ, a.m.zone, a.m.spot) && a.m.has(j.spec.Image)
+	}
+	sort.Slice(victims, func(x, y int) bool {
+		a, b := victims[x], victims[y]
+		if ga, gb := good(a), good(b); ga != gb {
+			return ga
+		}
+		if a.placedAt != b.placedAt {
+			return a.placedAt > b.placedAt
+		}
+		return a.number > b.number
+	})
+	for _, a := range victims {
+		if cpus <= epsilon && gpus <= epsilon {
+			return
+		}
+		cpus -= a.job.spec.CPUs
+		gpus -= a.job.spec.GPUs
+		l.count.Preempted++
+		l.line(false, "preempted under its team's limit", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", a.m.name, "for", j.id)
+		l.stop(a, false, "preempted for "+j.id)
+	}
+}
+
 // mayPreempt reports whether the victim's end is a reason the rules know.
 func (l *Leader) mayPreempt(j *job, a *attempt) bool {
 	v := a.job
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -141,9 +141,10 @@
 	// PokePause is the least time between two direct calls to a machine that
 	// does not answer.
 	PokePause = 2 * time.Second
-	// SilentSlack is added to the lease time before a silent machine is given
-	// back: its tasks have ended themselves by then, whatever it is.
-	SilentSlack = 700 * time.Millisecond
+	// ReleaseAhead is how long before its lease must have ended a silent
+	// machine is given back: about as long as the call takes. Its tasks end
+	// themselves then in any case; the answer proves it.
+	ReleaseAhead = 300 * time.Millisecond
 	// ZoneSilence is how many leases long a zone may be silent as a whole
 	// before its machines are given back; a node in it may keep them alive.
 	ZoneSilence = 2.5
