Notice a leader's end at once; replicas that lost their machine go where they are warm

Two causes: starts waited up to 2.5 s for a dead leader's lease, and replicas of a lost machine were placed cold since their job, not their wait, was too old to hold for warm room.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -90,6 +91,17 @@
 		}
 		return send(c, http.StatusOK, n.Ping(p))
 	})
+	e.POST(mesh.HoldPath, func(c echo.Context) error {
+		// Nothing is kept from anybody here: peers ask for this answer only to
+		// notice at once when this process ends.
+		t := time.NewTimer(tuning.HoldFor)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-c.Request().Context().Done():
+		}
+		return send(c, http.StatusOK, struct{}{})
+	})
 	e.POST(mesh.ForwardPath, func(c echo.Context) error {
 		var f mesh.Forward
 		// A submission's bytes above 0x7f take two bytes each as text.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -211,10 +211,11 @@
 	nActive  int   // distinct indices with attempts
 	running  int
 
-	failures int
-	failedOn map[string]bool
-	retryAt  time.Duration
-	why      string // why it waits, for people
+	failures  int
+	failedOn  map[string]bool
+	retryAt   time.Duration
+	waitSince time.Duration // since when a task of it waits; 0: none does
+	why       string        // why it waits, for people
 
 	seenRuns int     // tasks seen from their start to their completion
 	seenRunS float64 // the time that these ran, in seconds
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -25,6 +25,9 @@
 	claimed := map[*machine]float64{} // CPUs on their way to somebody through preemption
 	for _, j := range queue {
 		n := j.pending()
+		if j.waitSince == 0 {
+			j.waitSince = l.now.Mono
+		}
 		budget := l.teamRoom(j)
 		if budget < n {
 			l.yieldTeam(j, n)
@@ -82,7 +85,7 @@
 	if !j.service || j.rank > 0 || m.has(j.spec.Image) || j.spec.ImageGB/max(m.mt.FetchGBs, 0.01) < tuning.WorthWarm {
 		return false
 	}
-	if l.now.Mono-j.created > tuning.WarmWait {
+	if l.now.Mono-j.waitSince > tuning.WarmWait {
 		return false
 	}
 	// Only where the task would then really go, or the room is made in vain,
@@ -135,6 +138,9 @@
 	teams := map[string][]*job{}
 	var out []*job
 	for _, j := range l.jobs {
+		if j.pending() == 0 {
+			j.waitSince = 0
+		}
 		if j.cancelled || j.archived {
 			continue
 		}
@@ -509,7 +515,12 @@
 		})
 		cost := 0.0
 		if !m.has(j.spec.Image) {
-			cost += 5 * j.spec.ImageGB
+			// A service is down while it fetches; what is stopped is only late.
+			weight := 2.0
+			if j.service {
+				weight = 50
+			}
+			cost += weight * j.spec.ImageGB / max(m.mt.FetchGBs, 0.01)
 		}
 		n := 0
 		for n < len(victims) && !fits() {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -16,6 +16,7 @@
 const (
 	PingPath    = "/mesh/v1/ping"
 	ForwardPath = "/mesh/v1/forward"
+	HoldPath    = "/mesh/v1/hold"
 )
 
 // Ping says who sends it and what it knows of the lead.
@@ -75,6 +76,15 @@
 	return out, err
 }
 
+// Hold waits for an answer that the peer holds back. It returns early, with an
+// error, when the peer's process ends.
+func (c *Client) Hold(ctx context.Context, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, tuning.HoldFor+tuning.PeerTimeout)
+	defer cancel()
+	_, err := c.rpc.Call(ctx, http.MethodPost, "http://"+addr+HoldPath, struct{}{}, nil)
+	return err
+}
+
 // Forward passes a user's request to the peer at addr.
 func (c *Client) Forward(ctx context.Context, addr string, f Forward, timeout time.Duration) (Forwarded, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"syscall"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/config"
 	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/mesh"
 	"github.com/yarrowgap/yarrowgap/internal/store"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
@@ -36,6 +38,7 @@
 			n.do(func() {
 				if it.Stamp >= n.lead.term {
 					n.setLead(rec.Node, it.Stamp)
+					n.lead.permit = it.Permit
 				}
 			})
 			n.awaitVacancy(ctx, it.Stamp)
@@ -280,3 +283,44 @@
 	})
 	return nil
 }
+
+// watchLeader notices at once when the leader's process ends, and then ends its
+// lease, so that nobody has to wait for it to run out. The signs are two: a held
+// answer breaks off, and new connections are refused, twice. A refused
+// connection alone proves nothing, and even both may mislead (a node without
+// free sockets, a filter); that costs an election, once a term, and no rule,
+// since those rest on tokens and conditions and not on the lease's time.
+func (n *Node) watchLeader(ctx context.Context) {
+	for sleep(ctx, tuning.HoldGap) {
+		n.mu.Lock()
+		lead, p := n.lead, n.peers[n.lead.name]
+		n.mu.Unlock()
+		if p == nil || lead.permit == 0 {
+			continue
+		}
+		begun := time.Now()
+		if n.mesh.Hold(ctx, p.Addr) == nil || time.Since(begun) >= tuning.HoldFor {
+			continue
+		}
+		refused := 0
+		for refused < 2 && sleep(ctx, tuning.HoldGap) {
+			_, err := n.mesh.Ping(ctx, p.Addr, mesh.Ping{Node: n.cfg.Node, Boot: n.boot})
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				break
+			}
+			refused++
+		}
+		n.mu.Lock()
+		same := n.lead.term == lead.term && n.leader == nil
+		if refused == 2 && same {
+			n.lead.permit = 0 // once a term
+		}
+		n.mu.Unlock()
+		if refused == 2 && same {
+			n.log.Info("the leader's process has ended, ending its lease", "leader", lead.name, "term", lead.term)
+			if err := n.state.Revoke(ctx, lead.permit); err != nil {
+				n.log.Debug("revoke", "err", err)
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,8 @@
 	name string // empty: nobody leads, as far as is known
 	addr string
 	term uint64 // highest term known, of name or of an earlier leader
+	// permit is the leader's lease, 0 if not known or no longer to be ended.
+	permit uint64
 }
 
 type peer struct {
@@ -102,7 +104,7 @@
 // Run works until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.campaign, n.learnTypes, n.pingPeers, n.follow, n.ticker} {
+	for _, f := range []func(context.Context){n.campaign, n.learnTypes, n.pingPeers, n.follow, n.ticker, n.watchLeader} {
 		wg.Add(1)
 		go func() { defer wg.Done(); f(ctx) }()
 	}
@@ -416,7 +418,11 @@
 	if n.lead.name != name || n.lead.term != term {
 		n.log.Info("leader is", "node", name, "term", term)
 	}
-	n.lead = leadInfo{name: name, term: term}
+	permit := uint64(0)
+	if n.lead.term == term {
+		permit = n.lead.permit
+	}
+	n.lead = leadInfo{name: name, term: term, permit: permit}
 	if p := n.peers[name]; p != nil {
 		n.lead.addr = p.Addr
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -213,6 +213,10 @@
 	PeerEvery   = 700 * time.Millisecond
 	PeerTimeout = 1500 * time.Millisecond
 	PeerDead    = 2500 * time.Millisecond
+	// HoldFor is how long a node holds the answer by which its peers notice its
+	// end, and HoldGap the pause before they ask again or look closer.
+	HoldFor = 15 * time.Second
+	HoldGap = 50 * time.Millisecond
 	// KeepaliveMargin is taken off the time for which a follower keeps the
 	// workers of a cut zone alive; see core.KeepaliveBound.
 	KeepaliveMargin = 5 * time.Second
