--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -111,7 +111,8 @@
 		if n.leader == nil {
 			continue
 		}
-		if c := n.leader.Counters(); c.ProbeRetry != 0 || c.ProbeGiveUp != 0 || c.Finished == 0 {
+		if c := n.leader.Counters(); c.ProbeRetry != 0 || c.ProbeGiveUp != 0 || c.Finished == 0 || c.Preempted > c.Finished/2 {
+			// Many stops for few completions: room is made and lost again.
 			t.Errorf("counters of a quiet world: %+v", c)
 		}
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -118,6 +118,8 @@
 	suspect    time.Duration // avoided until then
 	pauseTo    time.Duration // no starts until then
 	failedBy   map[string]bool
+	keptFor    string        // job for which room was made here
+	keptTo     time.Duration // until when it is kept
 
 	// Order of its messages, and what it has seen.
 	session, tick, checkinTick uint64
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -23,12 +23,15 @@
 	queue := l.queue()
 	var left []want
 	claimed := map[*machine]float64{} // CPUs on their way to somebody through preemption
+	// Room under a team's limit that production waits for. Without this, lower
+	// work would take what it was stopped for, and be stopped again.
+	promised := map[string]Team{}
 	for _, j := range queue {
 		n := j.pending()
 		if j.waitSince == 0 {
 			j.waitSince = l.now.Mono
 		}
-		budget := l.teamRoom(j)
+		budget := l.teamRoom(j, promised[j.spec.Team])
 		if budget < n {
 			l.yieldTeam(j, n)
 		}
@@ -41,6 +44,12 @@
 				continue
 			case tries < n:
 				j.why = "its team is at its limit"
+				if j.rank == 0 {
+					p := promised[j.spec.Team]
+					p.CPUs += float64(n) * j.spec.CPUs
+					p.GPUs += float64(n) * j.spec.GPUs
+					promised[j.spec.Team] = p
+				}
 				continue
 			case l.placeGang(j, n):
 				j.why = ""
@@ -61,6 +70,12 @@
 			placed++
 		}
 		rest := tries - placed
+		if j.rank == 0 && n > placed {
+			p := promised[j.spec.Team]
+			p.CPUs += float64(n-placed) * j.spec.CPUs
+			p.GPUs += float64(n-placed) * j.spec.GPUs
+			promised[j.spec.Team] = p
+		}
 		if rest > 0 {
 			j.why = "no machine has room"
 			for k := 0; k < rest; k++ {
@@ -200,7 +215,7 @@
 
 // teamRoom is how many more tasks of the job its team's limit allows. All that
 // may be on a machine counts, saving and unproven starts too.
-func (l *Leader) teamRoom(j *job) int {
+func (l *Leader) teamRoom(j *job, promised Team) int {
 	team, ok := l.cfg.Teams[j.spec.Team]
 	if !ok {
 		return 0
@@ -208,10 +223,10 @@
 	u := l.use(j.spec.Team)
 	n := math.Inf(1)
 	if j.spec.CPUs > 0 {
-		n = min(n, math.Floor((team.CPUsMax-u.CPUs+epsilon)/j.spec.CPUs))
+		n = min(n, math.Floor((team.CPUsMax-u.CPUs-promised.CPUs+epsilon)/j.spec.CPUs))
 	}
 	if j.spec.GPUs > 0 {
-		n = min(n, math.Floor((team.GPUsMax-u.GPUs+epsilon)/j.spec.GPUs))
+		n = min(n, math.Floor((team.GPUsMax-u.GPUs-promised.GPUs+epsilon)/j.spec.GPUs))
 	}
 	return int(max(0, min(n, wire.MaxTasks)))
 }
@@ -286,6 +301,9 @@
 	bestScore := math.Inf(1)
 	z := j.zones()
 	for _, m := range l.machines {
+		if m.keptFor != "" && m.keptFor != j.id && l.now.Mono < m.keptTo && j.rank > 0 {
+			continue // room was made here for another job
+		}
 		if !l.usable(m) || !m.fits(j) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.blocked() || !l.recordRoom(m) {
 			continue
 		}
@@ -416,7 +434,7 @@
 			if a.halt {
 				cpus -= v.spec.CPUs // room on its way
 				gpus -= v.spec.GPUs
-			} else if v.rank > j.rank {
+			} else if v.rank > j.rank && (a.seen || !a.sent) {
 				victims = append(victims, a)
 			}
 		}
@@ -449,8 +467,8 @@
 // mayPreempt reports whether the victim's end is a reason the rules know.
 func (l *Leader) mayPreempt(j *job, a *attempt) bool {
 	v := a.job
-	if v == nil || v == j || a.halt {
-		return false
+	if v == nil || v == j || a.halt || a.sent && !a.seen {
+		return false // the last: its start is on its way, and soon acknowledged
 	}
 	if v.rank > j.rank {
 		return true
@@ -505,6 +523,7 @@
 		}
 		if fits() {
 			claimed[m] += j.spec.CPUs
+			m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
 			return true // room is on its way
 		}
 		sort.SliceStable(victims, func(a, b int) bool {
@@ -539,6 +558,7 @@
 		return false
 	}
 	claimed[best] += j.spec.CPUs
+	best.keptFor, best.keptTo = j.id, l.now.Mono+tuning.KeepRoom
 	for _, v := range bestVictims {
 		l.count.Preempted++
 		save := v.job.spec.CheckpointS > 0 && j.rank > 0
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -120,6 +120,9 @@
 	// the deployment does not say. For half of it, room may come by itself;
 	// then borrowed work is stopped.
 	GuaranteeWithin = 5 * time.Second
+	// KeepRoom is how long room that was made for a job is kept for it: stops
+	// and the write before a start take well under a second.
+	KeepRoom = 1500 * time.Millisecond
 	// WorthWarm is how long an image's fetch has to take, in seconds, before
 	// lower work is stopped on a machine that has the image. Its loss is at
 	// most what it ran so far.
