--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -464,7 +464,7 @@
 		for _, zone := range t.Zones {
 			for _, spot := range []bool{false, true} {
 				o := offer{t.Name, zone, spot}
-				if l.now.Mono < l.noCap[o] || spot && !l.cfg.Policy.UseSpot {
+				if l.now.Mono < l.noCap[o] || l.asked(o) || spot && !l.cfg.Policy.UseSpot {
 					continue
 				}
 				per := 1.0
@@ -508,6 +508,18 @@
 	return best, !math.IsInf(bestScore, 1)
 }
 
+// asked reports whether a rental of the kind is unanswered. Its answer tells
+// whether there are more to have, so a second request would be a guess, and a
+// burst of them runs into the cloud's limit.
+func (l *Leader) asked(o offer) bool {
+	for _, r := range l.rentals {
+		if r.offer == o {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Leader) sortedTypes() []*wire.MachineType {
 	out := make([]*wire.MachineType, 0, len(l.types))
 	for _, t := range l.types {
