--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -193,15 +193,14 @@
 		if px, py := x.rank == 0, y.rank == 0; px != py {
 			return px
 		}
-		if x.within != y.within {
-			return x.within
+		// What can still be on time goes before what is late already, even
+		// within a guarantee: of that, the start has been missed too.
+		if cx, cy := x.class(), y.class(); cx != cy {
+			return cx < cy
 		}
 		if x.rank != y.rank {
 			return x.rank < y.rank
 		}
-		if x.hopeful != y.hopeful {
-			return x.hopeful
-		}
 		if x.slack != y.slack {
 			return x.slack < y.slack
 		}
@@ -213,6 +212,19 @@
 	return out
 }
 
+// class orders jobs of the same standing: on time within the guarantee, on time
+// beyond it, late within it, late beyond it.
+func (j *job) class() int {
+	c := 0
+	if !j.hopeful {
+		c += 2
+	}
+	if !j.within {
+		c++
+	}
+	return c
+}
+
 // teamRoom is how many more tasks of the job its team's limit allows. All that
 // may be on a machine counts, saving and unproven starts too.
 func (l *Leader) teamRoom(j *job, promised Team) int {
