--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -229,7 +229,7 @@
 		return "unrelated jobs fail there"
 	}
 	if len(m.tasks) == 0 && m.leaveBy == 0 && !l.dirtyPlace && quiet < l.cfg.Report*2 &&
-		now-max(m.idleSince, m.upAt) > l.idleFor(m) && l.spareWithout(m) {
+		now-max(m.idleSince, m.upAt) > l.idleFor(m) && l.spareWithout(m) && l.roomForService(m) == nil {
 		return "idle"
 	}
 	return ""
@@ -244,6 +244,53 @@
 	return d
 }
 
+// roomForService looks whether the next service would find room at once on the
+// machines that are up, without the given one: as many tasks as the largest live
+// service job has, in its zones, on ordinary machines that no other service
+// fills (lower work there makes way). If not, it returns that job. Without this,
+// a fleet that is economised down to what its services fill makes the next one
+// wait for a boot.
+func (l *Leader) roomForService(without *machine) *job {
+	var big *job
+	for _, j := range l.jobs {
+		if j.service && !j.cancelled && !j.archived && (big == nil || float64(j.spec.Tasks)*j.spec.CPUs > float64(big.spec.Tasks)*big.spec.CPUs ||
+			float64(j.spec.Tasks)*j.spec.CPUs == float64(big.spec.Tasks)*big.spec.CPUs && j.id < big.id) {
+			big = j
+		}
+	}
+	if big == nil {
+		return nil
+	}
+	zones := map[string]int{}
+	total := 0
+	for _, m := range l.machines {
+		if m == without || m.spot || m.phase != up || m.mt == nil || m.failed || m.leaveBy > 0 || !big.allows(m.typ, m.zone, m.spot) {
+			continue
+		}
+		cpus, mem := m.mt.CPUs, m.mt.MemoryGB
+		for _, a := range m.tasks {
+			if a.job != nil && a.job.rank <= big.rank {
+				cpus -= a.job.spec.CPUs
+				mem -= a.job.spec.MemoryGB
+			}
+		}
+		n := 1 << 20
+		if big.spec.CPUs > 0 {
+			n = min(n, int(math.Floor(cpus/big.spec.CPUs+epsilon)))
+		}
+		if big.spec.MemoryGB > 0 {
+			n = min(n, int(math.Floor(mem/big.spec.MemoryGB+epsilon)))
+		}
+		n = min(max(n, 0), big.spec.ZoneCap()-zones[m.zone])
+		zones[m.zone] += n
+		total += n
+	}
+	if total >= big.spec.Tasks {
+		return nil
+	}
+	return big
+}
+
 // silentZones are the zones in which every machine is silent, while there is
 // more than one: then it is the network, and a node inside may keep them alive.
 func (l *Leader) silentZones() map[string]bool {
@@ -411,6 +458,15 @@
 			}
 		}
 	}
+	if j := l.roomForService(nil); j != nil {
+		fits := false
+		for _, s := range coming {
+			fits = fits || !s.spot && s.take(j)
+		}
+		if !fits {
+			order(j)
+		}
+	}
 	l.rentSpare(coming, orders, &count)
 	keys := make([]offer, 0, len(orders))
 	for o := range orders {
