--- a/cmd/yarrowgap/main.go
+++ b/cmd/yarrowgap/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -69,7 +70,8 @@
 	}
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(stderr, "yarrowgap:", err)
-		if _, ok := err.(usageError); ok {
+		var ue usageError
+		if errors.As(err, &ue) {
 			return exitUsage
 		}
 		return exitFailed
--- /dev/null
+++ b/cmd/yarrowgap/main_test.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestCommandLine(t *testing.T) {
+	dir := t.TempDir()
+	bad := filepath.Join(dir, "bad.toml")
+	if err := os.WriteFile(bad, []byte("node = \"a\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	script := filepath.Join(dir, "bad.star")
+	if err := os.WriteFile(script, []byte("\nspeed = 3\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	good := "../../examples/local.toml"
+	for _, tc := range []struct {
+		args     []string
+		code     int
+		out, err string
+	}{
+		{[]string{"version"}, 0, "yarrowgap " + version, ""},
+		{[]string{"--help"}, 0, "serve --config=FILE", ""},
+		{[]string{"check", "--config", good}, 0, "ok: node drover-0", ""},
+		{[]string{"check", "--config", good, "--script", "../../examples/operators.star"}, 0, "ok", ""},
+		{[]string{"check", "--config", bad}, 2, "", "mesh_addr: missing"},
+		{[]string{"serve", "--config", bad}, 2, "", "mesh_addr: missing"},
+		{[]string{"check", "--config", good, "--script", script}, 2, "", "bad.star:2"},
+		{[]string{"check", "--config", filepath.Join(dir, "none.toml")}, 2, "", "no such file"},
+		{[]string{"check"}, 2, "", "--config"},
+		{[]string{"fly"}, 2, "", "fly"},
+		{[]string{"leader", "--addr", "127.0.0.1:1"}, 1, "", "refused"},
+	} {
+		var out, errs bytes.Buffer
+		code := run(tc.args, &out, &errs)
+		if code != tc.code || !strings.Contains(out.String(), tc.out) || !strings.Contains(errs.String(), tc.err) {
+			t.Errorf("%v: exit %d, out %q, err %q", tc.args, code, out.String(), errs.String())
+		}
+	}
+}
+
+func TestLogLevel(t *testing.T) {
+	var b bytes.Buffer
+	for _, level := range []string{"error", "info", "debug", ""} {
+		if _, err := logger(&b, level); err != nil {
+			t.Errorf("%q: %v", level, err)
+		}
+	}
+	if _, err := logger(&b, "loud"); err == nil || !strings.Contains(err.Error(), "loud") {
+		t.Errorf("an unknown level: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,76 @@
+package config_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/yarrowgap/yarrowgap/internal/config"
+)
+
+func example(t *testing.T) string {
+	b, err := os.ReadFile("../../examples/local.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestExampleAndUnknownFields(t *testing.T) {
+	s, err := config.Parse([]byte("later = 1\n" + example(t) + "\n[deployment.later]\nx = [1, 2]\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Node != "drover-0" || len(s.Deployment.Teams) != 1 || s.Deployment.State.TxnOps != 12 {
+		t.Errorf("read as %+v", s)
+	}
+}
+
+func TestErrorsNameTheField(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{`node = "drover-0"`, ``, "node"},
+		{`bind = "127.0.0.1:8080"`, `bind = "127.0.0.1"`, "bind"},
+		{`lease_s = 12.0`, `lease_s = 0.0`, "deployment.workers.lease_s"},
+		{`lease_s = 12.0`, `lease_s = "long"`, "lease_s"},
+		{`txn_ops = 12`, `txn_ops = 1`, "deployment.state.txn_ops"},
+		{`cpus_max = 64.0`, `cpus_max = -1.0`, "deployment.teams[0].cpus_max"},
+		{`state = "127.0.0.1:7000"`, ``, "outside.state"},
+		{`size = 1`, `size = = 1`, "line"},
+	} {
+		text := example(t)
+		if !strings.Contains(text, tc.old) {
+			t.Fatalf("the example has no %q", tc.old)
+		}
+		_, err := config.Parse([]byte(strings.Replace(text, tc.old, tc.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%q for %q: %v", tc.new, tc.old, err)
+		}
+	}
+}
+
+// The aims that a deployment states decide how it rents.
+func TestThrift(t *testing.T) {
+	aim := func(kind, share string) string {
+		return "\n[[deployment.objectives]]\nkind = \"" + kind + "\"\nshare = " + share + "\nwithin_s = 7.0\n"
+	}
+	for _, tc := range []struct {
+		aims string
+		want bool
+	}{
+		{"", false},
+		{aim("wait", "0.95") + aim("guarantee", "0.8"), false},
+		{aim("wait", "0.8") + aim("guarantee", "0.8"), true},
+		{aim("wait", "0.95") + aim("price", "1.5"), true},
+	} {
+		s, err := config.Parse([]byte(example(t) + tc.aims))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s.Thrifty() != tc.want {
+			t.Errorf("%q: thrifty %v", tc.aims, !tc.want)
+		}
+		if strings.Contains(tc.aims, "guarantee") && s.GuaranteeWithin().Seconds() != 7 {
+			t.Errorf("guarantee within %v", s.GuaranteeWithin())
+		}
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -52,6 +54,12 @@
 		l.rent(left)
 	}
 	l.flush()
+	for _, name := range slices.Sorted(maps.Keys(l.pushDue)) {
+		delete(l.pushDue, name)
+		if m := l.machines[name]; m != nil {
+			l.push(m)
+		}
+	}
 }
 
 // retryDue wakes jobs whose pause after a failure is over.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -289,6 +289,7 @@
 	tombs      []string        // machine records to delete
 	gone       map[string]bool // given back in this term; names are never used again
 	relRetry   time.Duration
+	pushDue    map[string]bool // machines for which a stop waits to be sent
 }
 
 type commitState struct {
@@ -331,7 +332,7 @@
 		types: map[string]*wire.MachineType{}, usage: map[string]*Team{},
 		commits: map[uint64]*commitState{}, calls: map[uint64]*callState{},
 		rentals: map[string]*rentalState{}, noCap: map[offer]time.Duration{},
-		gone:   map[string]bool{},
+		gone: map[string]bool{}, pushDue: map[string]bool{},
 		budget: cfg.WriteRate, budgetAt: now.Mono,
 		heardAny: now.Mono, startedAt: now.Mono, dirtyPlace: true, placedAt: now.Mono - time.Second,
 	}
@@ -357,6 +358,9 @@
 	}
 	l.line(false, "recovered", "jobs", len(l.jobs), "machines", len(l.machines))
 	for _, m := range l.sorted() {
+		if l.pushDue[m.name] {
+			l.push(m) // its answer is the report that we ask the others for
+		}
 		l.poke(m)
 	}
 	return l
@@ -684,7 +688,7 @@
 		l.raise(a.m)
 		a.needFence = a.m.fence
 	}
-	l.push(a.m)
+	l.pushDue[a.m.name] = true // with all other stops of this input
 }
 
 // raise takes a higher token for a machine, so that commands sent to it under
--- /dev/null
+++ b/internal/core/leader_test.go
@@ -0,0 +1,621 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// desk drives one leader by hand: every commit succeeds at once, and direct
+// calls wait until the test answers them.
+type desk struct {
+	t     *testing.T
+	l     *Leader
+	now   time.Duration
+	rev   uint64
+	items map[string]wire.Item
+	calls []DirectCall
+	rents []Rental
+	rel   [][]string
+	ticks map[string]uint64
+	fail  bool // commits are refused
+
+	replied []wire.Command // starts in answers to reports
+}
+
+const deskTerm = 50
+
+func newDesk(t *testing.T, thrifty bool, live map[string]*LiveJob, machines []wire.Item) *desk {
+	d := &desk{t: t, now: time.Hour, rev: 100, items: map[string]wire.Item{}, ticks: map[string]uint64{}}
+	rep := NewReplica()
+	for id, lj := range live {
+		rep.Live[id] = lj
+	}
+	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 64, CacheGB: 50, FetchGBs: 1, Price: 1, SpotCost: 0.5, BootS: 10, Zones: []string{"a", "b"}}}
+	cfg := Settings{Teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 16}, "blue": {CPUs: 8, CPUsMax: 16}}, Zones: []string{"a", "b"},
+		Report: time.Second, Lease: 12 * time.Second, TxnOps: 12, ValueBytes: 4096, WriteRate: 1000, Thrifty: thrifty,
+		GuaranteeWithin: 2 * time.Second, Policy: policy.Defaults(thrifty)}
+	d.l = NewLeader(d.clock(), cfg, deskTerm, rep, nil, machines, types)
+	d.settle()
+	return d
+}
+
+func (d *desk) clock() Now { return Now{Mono: d.now, Wall: d.now.Milliseconds()} }
+
+func (d *desk) settle() {
+	for range 20 {
+		d.l.Settle(d.clock())
+		e := d.l.Take()
+		d.calls = append(d.calls, e.Direct...)
+		d.rents = append(d.rents, e.Rent...)
+		d.rel = append(d.rel, e.Release...)
+		if e.Resign != "" {
+			d.t.Fatalf("resigned: %s", e.Resign)
+		}
+		if len(e.Commits) == 0 {
+			return
+		}
+		for _, c := range e.Commits {
+			if d.fail {
+				d.l.CommitDone(d.clock(), c.ID, CommitRefused, 0, nil)
+				continue
+			}
+			d.rev++
+			for _, ch := range c.Txn.Apply {
+				raw, err := wire.Marshal(ch.Value)
+				if err != nil {
+					d.t.Fatal(err)
+				}
+				if ch.Delete != "" {
+					delete(d.items, ch.Delete)
+				} else {
+					d.items[ch.Set] = wire.Item{Key: ch.Set, Value: raw, Stamp: d.rev}
+				}
+			}
+			d.l.CommitDone(d.clock(), c.ID, CommitDone, d.rev, nil)
+		}
+	}
+}
+
+// pass lets time go by, with ticks, while the named machines keep reporting.
+func (d *desk) pass(t time.Duration, machines ...string) {
+	for end := d.now + t; d.now < end; {
+		d.now += tuning.TickEvery
+		for _, m := range machines {
+			d.report(m)
+		}
+		d.l.Tick(d.clock())
+		d.settle()
+		d.answerQuestions(machines)
+	}
+}
+
+// answerQuestions answers the calls without commands for the named machines.
+func (d *desk) answerQuestions(machines []string) {
+	calls := d.calls
+	d.calls = nil
+	for _, c := range calls {
+		if len(c.Body.Commands) == 0 && slices.Contains(machines, c.Machine) {
+			d.answer(c, CallExecuted)
+		} else {
+			d.calls = append(d.calls, c)
+		}
+	}
+}
+
+// report sends a machine's report, under the token it was last told.
+func (d *desk) report(name string, tasks ...wire.TaskReport) wire.CheckinReply {
+	return d.reportAs(name, d.token(name), tasks...)
+}
+
+func (d *desk) token(name string) uint64 {
+	if m := d.l.machines[name]; m != nil {
+		return d.l.token(m)
+	}
+	return 0
+}
+
+func (d *desk) view(name string, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	d.ticks[name]++
+	zone := "a"
+	if name > "n-5" {
+		zone = "b"
+	}
+	return &wire.Report{Machine: name, Address: name + ":1", Type: "box", Zone: zone, Session: 1, Tick: d.ticks[name], Token: token, Tasks: tasks}
+}
+
+func (d *desk) reportAs(name string, token uint64, tasks ...wire.TaskReport) wire.CheckinReply {
+	reply, ok := d.l.Checkin(d.clock(), d.view(name, token, tasks...))
+	if !ok {
+		d.t.Fatal("not answered")
+	}
+	for _, o := range reply.Commands {
+		if o.Verb == wire.VerbRun {
+			d.replied = append(d.replied, o)
+		}
+	}
+	d.settle()
+	return reply
+}
+
+// up brings machines up: they report, and answer the question that follows.
+func (d *desk) up(names ...string) {
+	for _, n := range names {
+		d.report(n)
+		d.answerAll(CallExecuted)
+		d.report(n)
+	}
+}
+
+// answerAll answers all direct calls that are out with what was asked for.
+func (d *desk) answerAll(res CallResult) {
+	for len(d.calls) > 0 {
+		c := d.calls[0]
+		d.calls = d.calls[1:]
+		d.answer(c, res)
+	}
+}
+
+func (d *desk) answer(c DirectCall, res CallResult) {
+	var r *wire.Report
+	if res != CallLost {
+		var tasks []wire.TaskReport
+		m := d.l.machines[c.Machine]
+		for _, a := range m.list() {
+			if a.seen {
+				tasks = append(tasks, wire.TaskReport{Task: wire.TaskName(a.ref.job, a.ref.index), Attempt: a.number, State: wire.TaskRunning})
+			}
+		}
+		for _, o := range c.Body.Commands {
+			if o.Verb == wire.VerbRun {
+				tasks = append(tasks, wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskRunning})
+			}
+			for i := range tasks {
+				if o.Verb == wire.VerbHalt && tasks[i].Task == o.Task {
+					tasks[i].State, tasks[i].Cause = wire.TaskExited, wire.CauseHalted
+				}
+			}
+		}
+		r = d.view(c.Machine, c.Body.Token, tasks...)
+	}
+	d.l.CallDone(d.clock(), c.ID, res, r)
+	d.settle()
+}
+
+func (d *desk) submit(j wire.Job) {
+	j.CreatedMilli = d.now.Milliseconds()
+	if j.Team == "" {
+		j.Team = "red"
+	}
+	if j.Shape == "" {
+		j.Shape = wire.ShapeArray
+	}
+	if j.Rank == "" {
+		j.Rank = wire.RankNormal
+	}
+	j.Image = "img"
+	d.rev++
+	d.l.JobsChanged(d.clock(), []Changed{{j.ID, &LiveJob{Record: &store.JobRecord{Job: j}, Stamp: d.rev}}})
+	d.now += tuning.PlaceGap
+	d.settle()
+}
+
+// starts lists the start commands in answers and among the calls that are out.
+func (d *desk) starts() (out []wire.Command) {
+	out = append(out, d.replied...)
+	for _, c := range d.calls {
+		for _, o := range c.Body.Commands {
+			if o.Verb == wire.VerbRun {
+				out = append(out, o)
+			}
+		}
+	}
+	return out
+}
+
+func running(o wire.Command) wire.TaskReport {
+	return wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskRunning}
+}
+
+func exited(o wire.Command, cause string) wire.TaskReport {
+	return wire.TaskReport{Task: o.Task, Attempt: o.Attempt, State: wire.TaskExited, Cause: cause}
+}
+
+func machineItem(t *testing.T, name string, rec store.MachineRecord) wire.Item {
+	raw, err := wire.Marshal(rec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return wire.Item{Key: store.MachineKey(name), Value: raw, Stamp: 7}
+}
+
+// Nothing is started before its machine's record has it, and nothing at all
+// while the state service takes no writes.
+func TestNoStartBeforeTheRecord(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.fail = true
+	d.submit(wire.Job{ID: "run-000001", Tasks: 2, CPUs: 1})
+	d.pass(3*time.Second, "n-1")
+	if s := d.starts(); len(s) != 0 {
+		t.Fatalf("started without a record: %v", s)
+	}
+	d.fail = false
+	d.pass(time.Second, "n-1")
+	var rec store.MachineRecord
+	if err := wire.Unmarshal(d.items[store.MachineKey("n-1")].Value, &rec); err != nil {
+		t.Fatal(err)
+	}
+	if s := d.starts(); len(s) != 2 || len(rec.Tasks["run-000001"]) != 2 {
+		t.Fatalf("%d starts, record %+v", len(s), rec)
+	}
+}
+
+// An unacknowledged start is sent again, with the same attempt, at growing
+// intervals, until the budget is spent; then it is stopped under a higher token
+// and placed again only when a report under that token shows it gone.
+func TestUnacknowledgedStart(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	due := 30.0
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1, DueS: &due})
+	first := d.starts()[0]
+	begun := d.now
+	var at []time.Duration
+	token := uint64(0)
+	for d.now < begun+60*time.Second && d.l.count.ProbeGiveUp == 0 {
+		for _, c := range d.calls {
+			for _, o := range c.Body.Commands {
+				if o.Verb == wire.VerbRun {
+					if o.Attempt != first.Attempt {
+						t.Fatalf("probe with another attempt: %v", o)
+					}
+					at = append(at, d.now-begun)
+					token = c.Body.Token
+				}
+			}
+		}
+		d.answerAll(CallLost)
+		d.now += tuning.TickEvery
+		d.l.heardAny, d.l.machines["n-1"].heardAt = d.now, d.now // silence is not the matter here
+		d.l.Tick(d.clock())
+		d.settle()
+	}
+	if len(at) < 3 || len(at) > tuning.ProbeCount+1 {
+		t.Fatalf("probes at %v", at)
+	}
+	for i := 2; i < len(at); i++ {
+		if at[i]-at[i-1] < at[i-1]-at[i-2] {
+			t.Fatalf("probes at %v do not slow down", at)
+		}
+	}
+	if last := at[len(at)-1]; last > 30*time.Second || d.now-begun < 30*time.Second {
+		t.Fatalf("last probe after %v, given up after %v, budget 30 s", last, d.now-begun)
+	}
+	stopped := false
+	for _, c := range d.calls {
+		for _, o := range c.Body.Commands {
+			stopped = stopped || o.Verb == wire.VerbHalt && o.Attempt == first.Attempt && c.Body.Token > token
+		}
+	}
+	if !stopped {
+		t.Fatalf("no stop under a higher token: %+v", d.calls)
+	}
+	d.answerAll(CallLost)
+	d.reportAs("n-1", token) // does not list it, but under the old token
+	if len(d.l.machines["n-1"].tasks) != 1 {
+		t.Fatal("taken for gone without proof")
+	}
+	d.report("n-1")
+	d.pass(time.Second, "n-1")
+	s := d.starts()
+	if len(s) != 1 || s[0].Attempt <= first.Attempt {
+		t.Fatalf("not placed again with a higher attempt: %v", s)
+	}
+}
+
+// A report that overtakes the answer which carried a start proves nothing.
+func TestReplyOvertaken(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1})
+	a := d.l.jobs["run-000001"].active[0][0]
+	a.calling, a.seen, a.replyTick, a.session = false, false, d.ticks["n-1"]+1, 1
+	direct := d.view("n-1", d.token("n-1"))
+	direct.Tick = a.replyTick + 1
+	if d.l.provenAbsent(a, direct, false) {
+		t.Error("a direct answer counts as proof against a start in a report's answer")
+	}
+	if !d.l.provenAbsent(a, direct, true) {
+		t.Error("the next report does not count as proof")
+	}
+}
+
+// A cancellation that the last leader did not see through is carried on: no
+// watch tells of it again.
+func TestRecoveredCancellation(t *testing.T) {
+	j := wire.Job{ID: "run-000001", Tasks: 2, CPUs: 1, Team: "red", Shape: wire.ShapeService, Rank: wire.RankProduction}
+	live := map[string]*LiveJob{j.ID: {Record: &store.JobRecord{Job: j, Cancelled: true}, Stamp: 5}}
+	items := []wire.Item{machineItem(t, "n-1", store.MachineRecord{Type: "box", Zone: "a", Address: "n-1:1",
+		Tasks: map[string][]store.Assigned{j.ID: {{Index: 0, Attempt: 9}, {Index: 1, Attempt: 10}}}})}
+	d := newDesk(t, false, live, items)
+	halts := 0
+	for _, c := range d.calls {
+		for _, o := range c.Body.Commands {
+			if o.Verb == wire.VerbHalt {
+				halts++
+			}
+		}
+	}
+	if halts != 2 {
+		t.Fatalf("%d stops of 2", halts)
+	}
+	if len(d.items) != 0 {
+		t.Fatal("the job was ended before its tasks were")
+	}
+	token := d.token("n-1")
+	d.reportAs("n-1", token, exited(wire.Command{Task: "run-000001/0", Attempt: 9}, wire.CauseHalted),
+		exited(wire.Command{Task: "run-000001/1", Attempt: 10}, wire.CauseHalted))
+	if _, ok := d.items[store.EndedKey(j.ID)]; !ok {
+		t.Fatal("the job was not ended after its tasks were")
+	}
+}
+
+// What an earlier leader recorded stays put until its worker reports under our
+// token, whatever other reports and lists say.
+func TestRecordedTasksStayPut(t *testing.T) {
+	j := wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1, Team: "red", Shape: wire.ShapeArray, Rank: wire.RankNormal}
+	live := map[string]*LiveJob{j.ID: {Record: &store.JobRecord{Job: j}, Stamp: 5}}
+	items := []wire.Item{machineItem(t, "n-1", store.MachineRecord{Type: "box", Zone: "a", Address: "n-1:1",
+		Tasks: map[string][]store.Assigned{j.ID: {{Index: 0, Attempt: 9}}}})}
+	d := newDesk(t, false, live, items)
+	d.answerAll(CallLost)
+	d.up("n-2")
+	d.reportAs("n-1", 3) // from before our term
+	d.l.Listed(d.clock(), nil)
+	d.l.Listed(d.clock(), nil)
+	d.pass(2*time.Second, "n-2")
+	if s := d.starts(); len(s) != 0 {
+		t.Fatalf("placed while it may run elsewhere: %v", s)
+	}
+	d.report("n-1")
+	d.pass(time.Second, "n-1", "n-2")
+	if s := d.starts(); len(s) != 1 {
+		t.Fatalf("not placed once it is proven free: %v\n%+v\n%+v", s, d.l.Job(d.clock(), j.ID), d.l.Machines(d.clock(), "", 9))
+	}
+}
+
+// A done task is forgotten only when it is durably done, and always under a
+// higher token than its start had.
+func TestForgetAfterDurable(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 2, CPUs: 1})
+	s := d.starts()
+	token := d.calls[0].Body.Token
+	d.answerAll(CallExecuted)
+	d.fail = true
+	forgets := func(r wire.CheckinReply) (n int) {
+		for _, o := range r.Commands {
+			if o.Verb == wire.VerbForget {
+				n++
+			}
+		}
+		return n
+	}
+	tasks := []wire.TaskReport{exited(s[0], wire.CauseDone), running(s[1])}
+	for range 3 {
+		d.now += time.Second
+		if r := d.report("n-1", tasks...); forgets(r) != 0 {
+			t.Fatal("forgotten before it is durable")
+		}
+	}
+	d.fail = false
+	d.now += 2 * tuning.DoneFlush
+	d.l.Tick(d.clock())
+	d.settle()
+	r := d.report("n-1", tasks...)
+	if forgets(r) != 1 || r.Token <= token {
+		t.Fatalf("%+v after a start under %d", r, token)
+	}
+}
+
+// A new attempt is not sent to a machine that still lists an ended one of the
+// same task: a late copy of the old start could run beside it elsewhere.
+func TestNoStartBesideAnEndedAttempt(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1})
+	s := d.starts()
+	d.answerAll(CallExecuted)
+	d.report("n-1", exited(s[0], wire.CauseError))
+	d.now += 2 * time.Second
+	d.l.Tick(d.clock())
+	d.settle()
+	d.report("n-1", exited(s[0], wire.CauseError))
+	if again := d.starts(); len(again) != 0 {
+		t.Fatalf("sent beside the ended attempt: %v", again)
+	}
+	d.now += time.Second
+	d.report("n-1")
+	d.pass(time.Second, "n-1")
+	if again := d.starts(); len(again) != 1 || again[0].Attempt == s[0].Attempt {
+		t.Fatalf("not sent after the old one was forgotten: %v\n%+v\n%+v", again, d.l.Job(d.clock(), "run-000001"), d.l.Machines(d.clock(), "", 9))
+	}
+}
+
+// A job that fails wherever it runs is tried at growing intervals and blames no
+// machine for good; a machine on which unrelated jobs fail is avoided.
+func TestFailures(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1})
+	tries := 0
+	for begun := d.now; d.now < begun+60*time.Second; {
+		s := d.starts()
+		tries += len(s)
+		d.answerAll(CallExecuted)
+		if len(s) > 0 {
+			d.report("n-1", exited(s[0], wire.CauseError))
+		}
+		d.pass(tuning.TickEvery, "n-1")
+	}
+	if tries < 4 || tries > 10 {
+		t.Errorf("%d tries in a minute", tries)
+	}
+	if d.l.machines["n-1"].suspect > d.now {
+		t.Error("one failing job made its machine suspect")
+	}
+	d.submit(wire.Job{ID: "run-000002", Tasks: 1, CPUs: 1})
+	for _, c := range d.calls {
+		for _, o := range c.Body.Commands {
+			if o.Task == "run-000002/0" {
+				d.answer(c, CallExecuted)
+				d.report("n-1", exited(o, wire.CauseError))
+			}
+		}
+	}
+	if d.l.machines["n-1"].suspect <= d.now {
+		t.Error("two unrelated failing jobs did not")
+	}
+	if f := d.l.Failures(0, 1); len(f) != 1 || f[0].Task != "run-000002/0" || f[0].Cause != wire.CauseError {
+		t.Errorf("failures: %+v", f)
+	}
+}
+
+// Machines that came up before the term and stand idle have no record. A new
+// leader, who learns of them from the list, must not take them for machines
+// that never came up.
+func TestIdleMachinesSurviveAFailover(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	list := []wire.ListedMachine{{Name: "n-1", Address: "n-1:1", Type: "box", Zone: "a", State: wire.MachineRunning, AgeS: 900}}
+	d.l.Listed(d.clock(), list)
+	d.pass(2 * time.Second)
+	if len(d.rel) != 0 {
+		t.Fatalf("given back: %v", d.rel)
+	}
+	d.report("n-1")
+	d.pass(30*time.Second, "n-1")
+	if len(d.rel) != 0 {
+		t.Fatalf("given back although it reports: %v", d.rel)
+	}
+}
+
+// A silent machine's tasks are placed again only after the cloud's answer to
+// its release; a refused release changes nothing.
+func TestSilentMachine(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1", "n-2", "n-6")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1, Shape: wire.ShapeService, Rank: wire.RankProduction})
+	on := d.calls[0].Machine
+	d.answerAll(CallExecuted)
+	rest := []string{}
+	for _, n := range []string{"n-1", "n-2", "n-6"} {
+		if n != on {
+			rest = append(rest, n)
+		}
+	}
+	for range 15 {
+		d.pass(time.Second, rest...)
+		d.answerAll(CallLost)
+	}
+	if len(d.rel) != 1 || d.rel[0][0] != on {
+		t.Fatalf("released: %v", d.rel)
+	}
+	if s := d.starts(); len(s) != 0 {
+		t.Fatalf("placed before the release was answered: %v", s)
+	}
+	d.l.Released(d.clock(), d.rel[0], ReleaseRefused)
+	d.rel = nil
+	d.pass(3*time.Second, rest...)
+	if len(d.rel) != 1 || len(d.starts()) != 0 {
+		t.Fatalf("after a refused release: %v, %v", d.rel, d.starts())
+	}
+	d.l.Released(d.clock(), d.rel[0], ReleaseDone)
+	d.pass(time.Second, rest...)
+	if s := d.starts(); len(s) != 1 {
+		t.Fatalf("not placed after the release: %v", s)
+	}
+}
+
+// A production service gets room under its team's limit from its own team's
+// lower work, and that room is not taken by others meanwhile.
+func TestProductionUnderItsTeamsLimit(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1", "n-2", "n-3")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 30, CPUs: 1})
+	d.answerAll(CallExecuted)
+	if u := d.l.use("red").CPUs; u != 16 {
+		t.Fatalf("team uses %v of 16", u)
+	}
+	d.submit(wire.Job{ID: "run-000002", Tasks: 2, CPUs: 1, Shape: wire.ShapeService, Rank: wire.RankProduction})
+	for range 5 {
+		d.answerAll(CallExecuted)
+		d.now += tuning.PlaceGap
+		d.settle()
+	}
+	if j := d.l.jobs["run-000002"]; j.running != 2 {
+		t.Fatalf("%d of 2 replicas run", j.running)
+	}
+	if d.l.count.Preempted != 2 || d.l.use("red").CPUs > 16 {
+		t.Fatalf("%d stops, team uses %v", d.l.count.Preempted, d.l.use("red").CPUs)
+	}
+}
+
+// A gang is placed as a whole or not at all, and one member's end stops it.
+func TestGang(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 3, CPUs: 4, Shape: wire.ShapeGang})
+	if len(d.starts()) != 0 || d.l.jobs["run-000001"].nActive != 0 {
+		t.Fatal("part of a gang was placed")
+	}
+	d.up("n-2")
+	d.pass(time.Second, "n-1", "n-2")
+	if n := len(d.starts()); n != 3 {
+		t.Fatalf("%d of 3 members started", n)
+	}
+	var lost wire.Command
+	var where string
+	for _, c := range d.calls {
+		lost, where = c.Body.Commands[0], c.Machine
+	}
+	d.answerAll(CallExecuted)
+	d.report(where, exited(lost, wire.CauseError))
+	left := 0
+	for _, a := range d.l.jobs["run-000001"].attempts() {
+		if !a.halt {
+			left++
+		}
+	}
+	if left != 0 {
+		t.Fatalf("%d members go on without the failed one", left)
+	}
+}
+
+// The estimate of a machine record's size is never below the record's size.
+func TestRecordFitsTheValueLimit(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.l.cfg.Teams["red"] = Team{CPUsMax: 1e6}
+	d.up("n-1")
+	m := d.l.machines["n-1"]
+	m.mt = &wire.MachineType{Name: "box", CPUs: 1e6, MemoryGB: 1e6}
+	for i := range 6 {
+		m.fetched(fmt.Sprintf("%0200d", i), 1)
+	}
+	for i := 0; d.l.recordRoom(m); i++ {
+		j := d.l.addJob(&LiveJob{Record: &store.JobRecord{Job: wire.Job{ID: fmt.Sprintf("run-%06d", i/3), Tasks: 100000, CPUs: 1, Team: "red"}}})
+		d.l.term = 1 << 30 // attempts with many digits
+		d.l.enter(j, 99990+i%3, m)
+	}
+	rec, list := m.record()
+	if size := wire.JSONSize(rec); size > d.l.cfg.ValueBytes || len(list) < 20 {
+		t.Errorf("%d tasks take %d bytes of %d", len(list), size, d.l.cfg.ValueBytes)
+	}
+}
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,52 @@
+package policy_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/policy"
+)
+
+func TestExample(t *testing.T) {
+	s, err := policy.Load("../../examples/operators.star", policy.Defaults(true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.DefaultBudget != 2*time.Minute || s.MaxMachines != 64 || s.SpareShare != 0.5 || !s.Preempt {
+		t.Errorf("read as %+v", s)
+	}
+	if _, err := policy.Load("../../examples/none.star", policy.Defaults(true)); err == nil {
+		t.Error("a script that is not there was loaded")
+	}
+}
+
+func TestDefaultsStayWithoutAScript(t *testing.T) {
+	want := policy.Defaults(false)
+	got, err := policy.Eval("empty.star", "", want)
+	if err != nil || got != want {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+func TestMistakesAreNamedWithTheirLine(t *testing.T) {
+	for _, tc := range []struct{ src, want string }{
+		{"\nack_wait = 1", "m.star:2"},
+		{"ack_wait_s = \"1\"", "wants a number"},
+		{"ack_wait_s = True", "wants a number"},
+		{"ack_wait_s = -1", "must be from"},
+		{"probe_count = 2.5", "whole number"},
+		{"use_spot = 1", "True or False"},
+		{"\n\nspare_share = ", "m.star:3"},
+		{"spare_share = 1 // 0", "division by zero"},
+		{"load('x.star', 'y')", "load"},
+		{"def f():\n  for i in range(100000000):\n    pass\nf()", "too many steps"},
+		{"error_backoff_s = 100\nerror_backoff_max_s = 5", "below error_backoff_s"},
+		{"x = open('/etc/passwd')", "undefined: open"},
+	} {
+		_, err := policy.Eval("m.star", tc.src, policy.Defaults(false))
+		if err == nil || !strings.Contains(err.Error(), tc.want) {
+			t.Errorf("%q: %v, want %q", tc.src, err, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/store/records_test.go
@@ -0,0 +1,67 @@
+package store_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// Done bits survive their chunks, and a chunk fits the smallest value limit.
+func TestBitmapChunks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, wire.MaxTasks).Draw(t, "tasks")
+		b := store.NewBitmap(n)
+		set := rapid.SliceOfN(rapid.IntRange(0, n-1), 0, 200).Draw(t, "done")
+		want := map[int]bool{}
+		for _, i := range set {
+			b.Add(i)
+			want[i] = true
+		}
+		got := store.NewBitmap(n)
+		for k := 0; k < b.Chunks(); k++ {
+			s := b.Encode(k)
+			if len(s) > 1500 {
+				t.Fatalf("chunk %d takes %d bytes", k, len(s))
+			}
+			if err := got.Merge(k, s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got.Count() != len(want) {
+			t.Fatalf("%d of %d", got.Count(), len(want))
+		}
+		for i := range want {
+			if !got.Has(i) {
+				t.Fatalf("%d was lost", i)
+			}
+		}
+	})
+}
+
+// A record that does not fit its job is refused, not trusted.
+func TestBitmapRefusesWhatIsTooLong(t *testing.T) {
+	big := store.NewBitmap(5000)
+	big.Add(4999)
+	small := store.NewBitmap(16)
+	if err := small.Merge(0, big.Encode(0)); err == nil {
+		t.Error("a bitmap of 5000 tasks was merged into one of 16")
+	}
+	if err := small.Merge(0, "not base64!"); err == nil {
+		t.Error("what is not base64 was merged")
+	}
+	if _, err := store.DecodeJob(wire.Item{Key: store.JobKey("run-000001"), Value: wire.Raw{0xa0}}); err == nil {
+		t.Error("an empty job record was accepted")
+	}
+}
