--- a/cmd/yarrowgap/query.go
+++ b/cmd/yarrowgap/query.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -100,7 +101,12 @@
 }
 
 func printJob(t *tabwriter.Writer, v core.JobDetail) {
-	fmt.Fprintf(t, "%s\tclass %s\tteam %s\t%d tasks: %d done, %d running, %d waiting", v.ID, v.Class, v.Team, v.Tasks, v.Done, v.Running, v.Waiting)
+	fmt.Fprintf(t, "%s\t%s", v.ID, v.State)
+	if v.Tasks > 0 { // live, and told by the leader
+		fmt.Fprintf(t, "\tclass %s\tteam %s\t%d tasks: %d done, %d running, %d waiting", v.Class, v.Team, v.Tasks, v.Done, v.Running, v.Waiting)
+	} else {
+		fmt.Fprintf(t, "\t%d done", v.Done)
+	}
 	if v.Why != "" {
 		fmt.Fprintf(t, "\t(%s)", v.Why)
 	}
@@ -153,17 +159,12 @@
 
 func (c metricsCmd) Run(w io.Writer) error {
 	return ask(c.target, "/metrics", w, func(t *tabwriter.Writer, v map[string]any) {
-		for _, k := range sortedKeys(v) {
-			fmt.Fprintf(t, "%s\t%v\n", k, v[k])
+		for _, k := range slices.Sorted(maps.Keys(v)) {
+			if l, ok := v[k].(map[string]any); ok {
+				fmt.Fprintf(t, "%s\tp50 %v ms, p99 %v ms, max %v ms (of %v)\n", k, l["p50_ms"], l["p99_ms"], l["max_ms"], l["count"])
+			} else {
+				fmt.Fprintf(t, "%s\t%v\n", k, v[k])
+			}
 		}
 	})
 }
-
-func sortedKeys(m map[string]any) []string {
-	var out []string
-	for k := range m {
-		out = append(out, k)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -7,6 +7,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/yarrowgap/yarrowgap/internal/node"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
 // OperatorPath is where operators' read-only queries live. They answer in JSON,
@@ -31,12 +32,13 @@
 		return c.JSON(http.StatusOK, list)
 	})
 	g.GET("/jobs/:id", func(c echo.Context) error {
-		d, ok := n.JobView(c.Param("id"))
-		if !ok {
-			return notLeader(c, n)
-		}
-		if d == nil {
-			return c.JSON(http.StatusNotFound, map[string]string{"error": "no such live job"})
+		d, found, err := n.JobView(c.Request().Context(), c.Param("id"))
+		switch {
+		case err != nil:
+			c.Response().Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
+			return c.JSON(http.StatusServiceUnavailable, map[string]string{"error": "cannot be told now"})
+		case !found:
+			return c.JSON(http.StatusNotFound, map[string]string{"error": "no such job"})
 		}
 		return c.JSON(http.StatusOK, d)
 	})
@@ -58,7 +60,7 @@
 }
 
 func notLeader(c echo.Context, n *node.Node) error {
-	c.Response().Header().Set("Retry-After", "1")
+	c.Response().Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
 	return c.JSON(http.StatusServiceUnavailable, map[string]string{
 		"error": "this node does not lead", "leader": n.LeaderView().Leader})
 }
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -70,6 +70,7 @@
 // JobDetail is a job as operators see it.
 type JobDetail struct {
 	ID       string     `cbor:"id" json:"id"`
+	State    string     `cbor:"state" json:"state"`
 	Class    string     `cbor:"class" json:"class"`
 	Team     string     `cbor:"team" json:"team"`
 	Tasks    int        `cbor:"tasks" json:"tasks"`
@@ -82,13 +83,23 @@
 	Attempts []TaskView `cbor:"attempts" json:"attempts"`
 }
 
+func (j *job) state() string {
+	switch {
+	case j.cancelled:
+		return wire.JobCancelled
+	case j.running > 0:
+		return wire.JobRunning
+	}
+	return wire.JobPending
+}
+
 // Job describes a live job, or returns nil.
 func (l *Leader) Job(now Now, id string) *JobDetail {
 	j := l.jobs[id]
 	if j == nil {
 		return nil
 	}
-	d := &JobDetail{ID: id, Class: j.spec.Class, Team: j.spec.Team, Tasks: j.spec.Tasks, Done: j.nDone, Running: j.running,
+	d := &JobDetail{ID: id, State: j.state(), Class: j.spec.Class, Team: j.spec.Team, Tasks: j.spec.Tasks, Done: j.nDone, Running: j.running,
 		Waiting: j.pending(), Why: j.why, Failures: j.failures, Attempts: []TaskView{}}
 	if j.retryAt > now.Mono {
 		d.Why, d.RetryInS = "waits after failed attempts", (j.retryAt - now.Mono).Seconds()
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
 // LeaderView says who leads, as far as this node knows.
@@ -39,9 +41,21 @@
 	return ask(n, func(l *core.Leader, now core.Now) []core.MachineView { return l.Machines(now, from, most) })
 }
 
-// JobView describes a live job; nil if there is none of that id.
-func (n *Node) JobView(id string) (*core.JobDetail, bool) {
-	return ask(n, func(l *core.Leader, now core.Now) *core.JobDetail { return l.Job(now, id) })
+// JobView describes a job: in full while it is live and this node leads, else
+// by what is remembered of it. found is false for a job that nobody submitted;
+// an error says that it cannot be told here and now.
+func (n *Node) JobView(ctx context.Context, id string) (d *core.JobDetail, found bool, err error) {
+	d, _ = ask(n, func(l *core.Leader, now core.Now) *core.JobDetail { return l.Job(now, id) })
+	if d != nil {
+		return d, true, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, tuning.QueryPatience)
+	defer cancel()
+	v, found, err := n.known(ctx, id)
+	if err != nil || !found {
+		return nil, found, err
+	}
+	return &core.JobDetail{ID: id, State: v.State, Done: v.Done, Running: v.Running, Attempts: []core.TaskView{}}, true, nil
 }
 
 // WaitingView lists jobs that wait, with the reason.
