--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -384,6 +384,7 @@
 	}
 	j.done.Add(index)
 	j.nDone++
+	l.line(true, "task done", "task", wire.TaskName(j.id, index))
 	l.count.Finished++
 	if j.dirtyAt == 0 {
 		j.dirtyAt = l.now.Mono
