--- a/internal/core/deadline.go
+++ b/internal/core/deadline.go
@@ -85,13 +85,13 @@
 		if j.pending() > 0 {
 			alone = max(alone, j.duration())
 		}
-		if alone > l.due(j) {
+		if alone*tuning.HopeFactor > l.due(j) {
 			j.hopeful = false
 			continue
 		}
 		set = append(set, taken{j, w})
 		sum += w
-		if sum/capacity <= l.due(j) {
+		if sum/capacity*tuning.HopeFactor <= l.due(j) {
 			continue
 		}
 		worst := 0
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -224,7 +224,7 @@
 
 	hopeful bool    // can still meet its deadline, as of the last round
 	within  bool    // inside its team's guarantee, as of the last round
-	slack   float64 // seconds, as of the last round
+	slack   float64 // seconds until it is due, as of the last round
 }
 
 func (j *job) pending() int {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -183,9 +183,9 @@
 	}
 	l.planDeadlines()
 	for _, j := range out {
-		j.slack = math.Inf(1)
+		j.slack = math.Inf(1) // without a deadline, after those that have one
 		if j.spec.DueS != nil {
-			j.slack = l.due(j) - j.duration()
+			j.slack = l.due(j)
 		}
 	}
 	sort.Slice(out, func(a, b int) bool {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -133,6 +133,7 @@
 	// RunsToTrust is how many completed tasks of a job outweigh its owner's
 	// estimate. The first to complete are the shortest, so a few are needed.
 	RunsToTrust = 5
+	HopeFactor  = 1.2
 	// FailuresKept is how many failed attempts stay queryable.
 	FailuresKept = 500
 )
