Ask a peer too when a submission waits; no hot loop on lost answers

Cause (found by reading, after 2.5 s submissions at a node cut from the state service): lost answers were retried in a loop until patience ran out.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,7 @@
 type peer struct {
 	config.Peer
 	heard   time.Time
+	unable  time.Time // last time that it could not decide a request passed on
 	running map[string]int
 }
 
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -252,13 +252,50 @@
 		If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},
 		Apply: []wire.Change{{Set: store.JobKey(job.ID), Value: rec}},
 	}
-	repeated := false // an earlier try may have been carried out
-	for {
-		_, _, err = n.state.Commit(ctx, store.Second, t)
-		if !errors.Is(err, store.ErrUnknown) || ctx.Err() != nil {
-			break
+	repeated := false // an earlier try, here or at a peer, may have been carried out
+	type outcome struct{ err error }
+	tried := make(chan outcome, 1)
+	attempt := func() {
+		_, _, err := n.state.Commit(ctx, store.Second, t)
+		tried <- outcome{err}
+	}
+	go attempt()
+	hedge := time.NewTimer(tuning.HedgeAfter)
+	defer hedge.Stop()
+	asked := forwarded
+	passed := make(chan Answer, 1) // a peer's answer, if it decides
+	ask := func() {
+		if asked {
+			return
+		}
+		asked, repeated = true, true
+		go func() {
+			if a, ok := n.passOn(fwd); ok {
+				passed <- a
+			}
+		}()
+	}
+	for waiting := true; waiting; {
+		select {
+		case o := <-tried:
+			err = o.err
+			if !errors.Is(err, store.ErrUnknown) {
+				waiting = false
+				break
+			}
+			// Carried out or not, the same write again is safe: its conditions
+			// let it happen once. But not in a hot loop, and a peer may be in a
+			// better place.
+			repeated = true
+			ask()
+			time.AfterFunc(tuning.StateRetry, attempt)
+		case <-hedge.C:
+			ask()
+		case a := <-passed:
+			return a
+		case <-ctx.Done():
+			err, waiting = ctx.Err(), false
 		}
-		repeated = true
 	}
 	switch {
 	case err == nil:
@@ -274,7 +311,7 @@
 		}
 		return Answer{Status: status, State: &wire.JobState{ID: job.ID, State: v.State}}
 	}
-	return n.pass(forwarded, fwd, err)
+	return n.pass(asked, fwd, err)
 }
 
 // judge says whether a job can ever run. A zero status means that it can.
@@ -373,30 +410,43 @@
 func (n *Node) pass(forwarded bool, f mesh.Forward, cause error) Answer {
 	n.log.Debug("cannot serve", "kind", f.Kind, "id", f.ID, "err", cause)
 	if !forwarded {
-		for _, addr := range n.livePeers() {
-			out, err := n.mesh.Forward(context.Background(), addr, f, tuning.ForwardTimeout)
-			if err != nil || out.Status == http.StatusServiceUnavailable || out.Status == http.StatusTooManyRequests {
-				continue
-			}
-			return Answer{Status: out.Status, View: out.View, State: out.State, Error: out.Error}
+		if a, ok := n.passOn(f); ok {
+			return a
 		}
 	}
 	return refuse(http.StatusServiceUnavailable, "cannot be decided now")
 }
 
-// livePeers are the peers heard of lately, the leader first.
-func (n *Node) livePeers() []string {
+// passOn hands a request to the peers, one after the other, until one decides.
+// A peer that could not decide a moment ago is not asked again for a while: in
+// an outage, three nodes would only pass everything around.
+func (n *Node) passOn(f mesh.Forward) (Answer, bool) {
+	for _, p := range n.livePeers() {
+		out, err := n.mesh.Forward(context.Background(), p.Addr, f, tuning.ForwardTimeout)
+		if err != nil || out.Status == http.StatusServiceUnavailable || out.Status == http.StatusTooManyRequests {
+			n.mu.Lock()
+			p.unable = time.Now()
+			n.mu.Unlock()
+			continue
+		}
+		return Answer{Status: out.Status, View: out.View, State: out.State, Error: out.Error}, true
+	}
+	return Answer{}, false
+}
+
+// livePeers are the peers that were heard of lately, the leader first.
+func (n *Node) livePeers() []*peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var out []string
+	var out []*peer
 	for _, p := range n.peers {
-		if time.Since(p.heard) > tuning.PeerDead {
+		if time.Since(p.heard) > tuning.PeerDead || time.Since(p.unable) < tuning.PeerUnable {
 			continue
 		}
 		if p.Name == n.lead.name {
-			out = append([]string{p.Addr}, out...)
+			out = append([]*peer{p}, out...)
 		} else {
-			out = append(out, p.Addr)
+			out = append(out, p)
 		}
 	}
 	return out
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -230,10 +230,16 @@
 	// SubmitPatience is how long a submission may be tried at the state service
 	// before it is refused; users give up after 5 s.
 	SubmitPatience = 2500 * time.Millisecond
-	// QueryPatience is the same for a poll, for which users wait 2 s.
-	QueryPatience = 1200 * time.Millisecond
+	// HedgeAfter is how long a submission waits for the state service before a
+	// peer is asked too. Most answers take under 10 ms; users want 200 ms.
+	HedgeAfter = 100 * time.Millisecond
+	// QueryPatience is how long a poll waits here before it is passed on; users
+	// wait 2 s in all.
+	QueryPatience = 700 * time.Millisecond
+	// PeerUnable is how long a peer that could not decide is left alone.
+	PeerUnable = 400 * time.Millisecond
 	// ForwardTimeout bounds a request passed to a peer.
-	ForwardTimeout = 1500 * time.Millisecond
+	ForwardTimeout = 1100 * time.Millisecond
 	// RetryAfter is what refused users are told to wait, in seconds.
 	RetryAfter = 1
 	// DecisionsInFlight and SubmissionsInFlight bound concurrent work for
