Spread services and their images over machines

Cause: warm starts drew all replicas of an image to one machine; when that one was cut, 12 replicas fetched the image anew.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -353,8 +353,11 @@
 			if a.job == nil || a.state == wire.TaskRunning || a.halt {
 				continue
 			}
-			if a.job.spec.Image == j.spec.Image {
-				fetch /= 2 // shared with a fetch under way
+			if a.job.spec.Image == j.spec.Image && !j.service {
+				// Shared with a fetch under way. Not for services: where all
+				// that fetch gather on one machine, nothing else is warm when
+				// that one is lost.
+				fetch /= 2
 				break
 			}
 			if !m.has(a.job.spec.Image) {
@@ -388,7 +391,7 @@
 				s++
 			}
 		} else {
-			s += 0.1 * float64(services)
+			s += 0.3 * float64(services)
 		}
 		if m.spot {
 			s += 5
