--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -81,6 +81,11 @@
 			why[j.why] += n
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(l.usage)) {
+		if u := l.usage[name]; u.CPUs > 0 {
+			l.line(true, "team load", "team", name, "cpus_used", u.CPUs, "cpus_max", l.cfg.Teams[name].CPUsMax)
+		}
+	}
 	l.line(true, "load", "cpus_used", used, "cpus_total", total, "machines", len(l.machines), "jobs", len(l.jobs),
 		"no_room", why["no machine has room"], "team_limit", why["its team is at its limit"], "other", why[""])
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -436,6 +436,9 @@
 	m := l.addMachine(name, rec.Type, rec.Zone, rec.Spot, rec.Address)
 	m.phase, m.upAt = up, l.now.Mono
 	m.stamp = it.Stamp
+	// It reported in an earlier term, so the cloud lists it, but for the list's
+	// lag; a few more lists make up for that.
+	m.listedOnce, m.missing = true, -tuning.MissingLists
 	for _, im := range rec.Images {
 		m.images = append(m.images, image{name: im})
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -328,6 +328,9 @@
 		return
 	}
 	l.Settle(w.coreNow())
+	if err := l.Audit(); err != nil {
+		panic(fmt.Sprintf("%v: %v", w.now, err))
+	}
 	e := l.Take()
 	if w.trace {
 		for _, line := range e.Log {
