--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -60,6 +61,7 @@
 	next   *syncCall
 	active bool
 
+	lag                    atomic.Int64 // how late the last tick came, in nanoseconds
 	submissions, decisions chan struct{}
 	released               chan struct{} // bounds concurrent cloud calls
 }
@@ -164,9 +166,15 @@
 	return d/2 + time.Duration(rand.Int64N(int64(d)))
 }
 
-// ticker drives the leader's housekeeping.
+// ticker drives the leader's housekeeping. How late its ticks come shows how far
+// the process is behind its share of the processor.
 func (n *Node) ticker(ctx context.Context) {
-	for sleep(ctx, tuning.TickEvery) {
+	for {
+		begun := time.Now()
+		if !sleep(ctx, tuning.TickEvery) {
+			return
+		}
+		n.lag.Store(int64(time.Since(begun) - tuning.TickEvery))
 		n.do(func() {
 			if n.leader != nil {
 				n.leader.Tick(n.now())
--- /dev/null
+++ b/internal/node/overload_test.go
@@ -0,0 +1,123 @@
+package node
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/config"
+	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+func quietNode(t *testing.T) *Node {
+	b, err := os.ReadFile("../../examples/local.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := config.Parse(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(cfg, policy.Defaults(false), slog.New(slog.NewTextHandler(io.Discard, nil)))
+}
+
+// Under overload, reports outrank decisions, and decisions submissions.
+func TestRanksUnderOverload(t *testing.T) {
+	n := quietNode(t)
+	n.replica.Remember("run-000001", store.EndedRecord{State: wire.JobDone, Done: 1, Tasks: 1})
+	report := &wire.Report{Machine: "n-1", Address: "a:1", Session: 1, Tick: 1}
+	for _, tc := range []struct {
+		lag           time.Duration
+		submit, query int
+	}{
+		{0, http.StatusBadRequest, http.StatusOK},
+		{tuning.LagSubmissions + 1, http.StatusServiceUnavailable, http.StatusOK},
+		{tuning.LagDecisions + 1, http.StatusServiceUnavailable, http.StatusServiceUnavailable},
+	} {
+		n.lag.Store(int64(tc.lag))
+		if a := n.Submit(context.Background(), []byte{0xa0}, false); a.Status != tc.submit {
+			t.Errorf("lag %v: submission %d", tc.lag, a.Status)
+		}
+		if a := n.Query(context.Background(), "run-000001", false); a.Status != tc.query {
+			t.Errorf("lag %v: poll %d", tc.lag, a.Status)
+		}
+		if a := n.Checkin(report); a.Status != http.StatusServiceUnavailable { // nobody leads
+			t.Errorf("lag %v: report %d", tc.lag, a.Status)
+		}
+	}
+	n.lag.Store(0)
+	for range tuning.SubmissionsInFlight {
+		n.submissions <- struct{}{}
+	}
+	if a := n.Submit(context.Background(), []byte{0xa0}, false); a.Status != http.StatusServiceUnavailable {
+		t.Errorf("a submission over the bound: %d", a.Status)
+	}
+	if a := n.Query(context.Background(), "run-000001", false); a.Status != http.StatusOK {
+		t.Errorf("a poll while submissions are full: %d", a.Status)
+	}
+}
+
+// A follower sends workers to a leader in reach. In a cut it renews their leases
+// with the token they hold, only of the last known term, gives no commands, and
+// stops in time for a cancellation.
+func TestFollowerInACut(t *testing.T) {
+	n := quietNode(t)
+	n.peers["drover-1"] = &peer{Peer: config.Peer{Name: "drover-1", Addr: "b:1"}, heard: time.Now()}
+	n.setLead("drover-1", 9)
+	token := uint64(9)<<tuning.FenceBits | 3
+	report := func(token uint64) WorkerAnswer {
+		return n.Checkin(&wire.Report{Machine: "n-1", Address: "a:1", Session: 1, Tick: 1, Token: token})
+	}
+	if a := report(token); a.Status != http.StatusMisdirectedRequest || a.Redirect.Leader != "drover-1" {
+		t.Errorf("leader in reach: %+v", a)
+	}
+	n.peers["drover-1"].heard = time.Now().Add(-2 * tuning.PeerDead)
+	if a := report(token); a.Status != http.StatusOK || a.Reply.Token != token || len(a.Reply.Commands) != 0 {
+		t.Errorf("in a cut: %+v", a)
+	}
+	if a := report(uint64(8) << tuning.FenceBits); a.Status == http.StatusOK {
+		t.Errorf("a token of an earlier term was kept alive: %+v", a)
+	}
+	n.kept["n-1"].since = time.Now().Add(-n.KeepaliveBound())
+	if a := report(token); a.Status == http.StatusOK {
+		t.Errorf("kept alive for longer than a cancellation leaves time for: %+v", a)
+	}
+	w := n.cfg.Deployment.Workers
+	if n.KeepaliveBound() > config.Seconds(w.CancelS-w.LeaseS) {
+		t.Errorf("bound %v", n.KeepaliveBound())
+	}
+}
+
+// Answers of watches that overtake each other never take the copy back.
+func TestReplicaKeepsTheLatest(t *testing.T) {
+	raw := func(cancelled bool) wire.Raw {
+		b, err := wire.Marshal(store.JobRecord{Job: wire.Job{ID: "run-000001", Tasks: 1}, Cancelled: cancelled})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	r := core.NewReplica()
+	r.Reset(nil, 10)
+	set := wire.LogEntry{Set: store.JobKey("run-000001"), Value: raw(false), Stamp: 11}
+	cancel := wire.LogEntry{Set: store.JobKey("run-000001"), Value: raw(true), Stamp: 12}
+	r.Apply(wire.Changes{Epoch: 12, Log: []wire.LogEntry{set, cancel}})
+	if touched, _ := r.Apply(wire.Changes{Epoch: 11, Log: []wire.LogEntry{set}}); len(touched) != 0 || !r.Live["run-000001"].Record.Cancelled {
+		t.Error("an older answer undid a cancellation")
+	}
+	r.Apply(wire.Changes{Epoch: 13, Log: []wire.LogEntry{{Delete: store.JobKey("run-000001"), Stamp: 13}}})
+	if touched, _ := r.Apply(wire.Changes{Epoch: 12, Log: []wire.LogEntry{set, cancel}}); len(touched) != 0 || r.Live["run-000001"] != nil {
+		t.Error("an older answer brought a job back to life")
+	}
+	if _, bad := r.Apply(wire.Changes{Epoch: 14, Log: []wire.LogEntry{{Set: store.JobKey("run-000002"), Value: raw(false), Stamp: 14}}}); len(bad) != 1 {
+		t.Error("a record under another job's key was trusted")
+	}
+}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -167,7 +167,12 @@
 }
 
 // enter takes a place among the bounded requests, or says that there is none.
-func enter(slots chan struct{}) (leave func(), ok bool) {
+// When the process falls behind, work is refused by rank: submissions first,
+// then polls and cancellations; workers' reports are always taken.
+func (n *Node) enter(slots chan struct{}, lag time.Duration) (leave func(), ok bool) {
+	if time.Duration(n.lag.Load()) > lag {
+		return nil, false
+	}
 	select {
 	case slots <- struct{}{}:
 		return func() { <-slots }, true
@@ -181,7 +186,7 @@
 	if !wire.ValidID(id) {
 		return refuse(http.StatusNotFound, "no such job")
 	}
-	leave, ok := enter(n.decisions)
+	leave, ok := n.enter(n.decisions, tuning.LagDecisions)
 	if !ok {
 		return busy
 	}
@@ -200,7 +205,7 @@
 
 // Submit answers POST /v2/runs.
 func (n *Node) Submit(ctx context.Context, body []byte, forwarded bool) Answer {
-	leave, ok := enter(n.submissions)
+	leave, ok := n.enter(n.submissions, tuning.LagSubmissions)
 	if !ok {
 		return busy
 	}
@@ -362,7 +367,7 @@
 	if !wire.ValidID(id) {
 		return refuse(http.StatusNotFound, "no such job")
 	}
-	leave, ok := enter(n.decisions)
+	leave, ok := n.enter(n.decisions, tuning.LagDecisions)
 	if !ok {
 		return busy
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -246,6 +246,12 @@
 	// users; cancellations and polls rank above submissions.
 	DecisionsInFlight   = 200
 	SubmissionsInFlight = 60
+	// LagSubmissions and LagDecisions are how late a tick may come before
+	// submissions, and before polls and cancellations, are refused. Users wait
+	// 5 s for the former and 2 s for a poll; workers wait 4 s, and their tasks
+	// hang on it, so they are never refused for it.
+	LagSubmissions = 400 * time.Millisecond
+	LagDecisions   = 1200 * time.Millisecond
 	// SocketShare is the share of the platform's socket limit that the user
 	// and worker listener may hold; the rest is for our own calls.
 	SocketShare = 0.7
