--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -27,6 +27,37 @@
 	site  *standin.Site
 	addrs []string
 	stops []func()
+
+	settings []string
+	ctx      context.Context
+}
+
+// run starts controller i on its listeners.
+func (c *cluster) run(ctx context.Context, i int, user, peer net.Listener) {
+	cfg, err := config.Parse([]byte(c.settings[i]))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	n := node.New(cfg, policy.Defaults(false), log)
+	nctx, stop := context.WithCancel(ctx)
+	us, ps := &http.Server{Handler: api.New(n, log)}, &http.Server{Handler: api.NewMesh(n, log)}
+	go func() { _ = us.Serve(user) }()
+	go func() { _ = ps.Serve(peer) }()
+	done := make(chan struct{})
+	go func() { n.Run(nctx); close(done) }()
+	c.ctx = ctx
+	c.stops = append(c.stops, func() { us.Close(); ps.Close(); stop(); <-done })
+}
+
+// restart ends controller i and starts it anew, on new ports for users.
+func (c *cluster) restart(i int) int {
+	c.stops[i]()
+	c.stops[i] = func() {}
+	user, peer := listen(c.t), listen(c.t)
+	c.addrs[i] = user.Addr().String()
+	c.run(c.ctx, i, user, peer)
+	return i
 }
 
 func listen(t *testing.T) net.Listener {
@@ -80,19 +111,8 @@
 rps = 50.0
 list_lag_s = 1.0
 `)
-		cfg, err := config.Parse([]byte(b.String()))
-		if err != nil {
-			t.Fatal(err)
-		}
-		log := slog.New(slog.NewTextHandler(io.Discard, nil))
-		n := node.New(cfg, policy.Defaults(false), log)
-		nctx, stop := context.WithCancel(ctx)
-		us, ps := &http.Server{Handler: api.New(n, log)}, &http.Server{Handler: api.NewMesh(n, log)}
-		go func() { _ = us.Serve(users[i]) }()
-		go func() { _ = ps.Serve(peers[i]) }()
-		done := make(chan struct{})
-		go func() { n.Run(nctx); close(done) }()
-		c.stops = append(c.stops, func() { us.Close(); ps.Close(); stop(); <-done })
+		c.settings = append(c.settings, b.String())
+		c.run(ctx, i, users[i], peers[i])
 	}
 	t.Cleanup(func() {
 		for _, s := range c.stops {
@@ -274,3 +294,19 @@
 	c.site.Refuse(false)
 	c.until("service again", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, job(21, 1))); return s == 201 || s == 200 })
 }
+
+// A controller that starts while the cloud is down takes the machine types from
+// the state service, and goes on accepting.
+func TestTypesOutliveTheCloud(t *testing.T) {
+	c := start(t, 2)
+	j := job(30, 1)
+	c.site.Upload(j, 0)
+	c.until("acceptance", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, j)); return s == 201 })
+	c.until("types in the state service", func() bool { return c.site.Has("type/box") })
+	c.site.CloudDown(true)
+	again := c.restart(1)
+	c.until("acceptance while the cloud is down", func() bool {
+		s, _, _ := c.do(again, "POST", "/v2/runs", body(t, job(31, 1)))
+		return s == 201
+	})
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -8,6 +8,7 @@
 	"sort"
 	"time"
 
+	"github.com/yarrowgap/yarrowgap/internal/store"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -382,7 +383,7 @@
 	}
 	delete(l.machines, m.name)
 	if m.stamp > 0 || m.writing {
-		l.tombs = append(l.tombs, m.name)
+		l.tombs = append(l.tombs, store.MachineKey(m.name))
 	}
 	l.dirtyPlace = true
 }
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -77,8 +79,7 @@
 		if !j.over() {
 			continue
 		}
-		n := 2 + len(j.chunks)
-		if !l.room(t, min(n, l.cfg.TxnOps)) {
+		if !l.room(t, 2) {
 			return
 		}
 		state := wire.JobDone
@@ -89,11 +90,6 @@
 		t.t.Apply = append(t.t.Apply,
 			wire.Change{Delete: store.JobKey(j.id)},
 			wire.Change{Set: store.EndedKey(j.id), Value: store.EndedRecord{State: state, Done: j.nDone, Tasks: j.spec.Tasks, Class: j.spec.Class}})
-		for k := range j.chunks {
-			if len(t.t.Apply) < l.cfg.TxnOps {
-				t.t.Apply = append(t.t.Apply, wire.Change{Delete: store.BitsKey(j.id, k)})
-			}
-		}
 		t.bytes += 400
 		j.writing = true
 		t.state.jobs = append(t.state.jobs, jobWrite{j: j, ended: true})
@@ -187,13 +183,14 @@
 	}
 }
 
-// gatherDeleted deletes the records of machines that are gone for good.
+// gatherDeleted deletes the records of machines that are gone for good, and the
+// further done bits of ended jobs.
 func (l *Leader) gatherDeleted(t *txn) {
 	for len(l.tombs) > 0 && l.room(t, 1) {
-		name := l.tombs[0]
+		key := l.tombs[0]
 		l.tombs = l.tombs[1:]
-		t.t.Apply = append(t.t.Apply, wire.Change{Delete: store.MachineKey(name)})
-		t.state.deleted = append(t.state.deleted, name)
+		t.t.Apply = append(t.t.Apply, wire.Change{Delete: key})
+		t.state.deleted = append(t.state.deleted, key)
 	}
 }
 
@@ -304,6 +301,9 @@
 		if j.cancelled {
 			state = wire.JobCancelled
 		}
+		for _, k := range slices.Sorted(maps.Keys(j.chunks)) {
+			l.tombs = append(l.tombs, store.BitsKey(j.id, k))
+		}
 		l.line(false, "job over", "job", j.id, "state", state, "after_s", (l.now.Mono - j.created).Seconds())
 		j.saved = append(store.Bitmap(nil), j.done...)
 		j.nSaved, j.dirtyAt = j.nDone, 0
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -286,7 +286,7 @@
 	listed     bool // the cloud's list was read in this term
 	heardAny   time.Duration
 	startedAt  time.Duration
-	tombs      []string        // machine records to delete
+	tombs      []string        // keys to delete when there is time
 	gone       map[string]bool // given back in this term; names are never used again
 	relRetry   time.Duration
 	pushDue    map[string]bool // machines for which a stop waits to be sent
@@ -296,7 +296,7 @@
 	machines []*machine
 	recorded [][]*attempt
 	jobs     []jobWrite
-	deleted  []string // machine records deleted
+	deleted  []string // keys deleted
 }
 
 type jobWrite struct {
@@ -417,10 +417,13 @@
 	if !ok || wire.Unmarshal(it.Value, &rec) != nil {
 		return
 	}
-	if j := l.jobs[id]; j != nil {
-		j.chunks[chunk] = it.Stamp
-		l.mergeDone(j, chunk, rec.Done)
+	j := l.jobs[id]
+	if j == nil {
+		l.tombs = append(l.tombs, it.Key) // left by a job that has ended
+		return
 	}
+	j.chunks[chunk] = it.Stamp
+	l.mergeDone(j, chunk, rec.Done)
 }
 
 // addRecord takes over a machine from its record. What is recorded there may
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -619,3 +620,49 @@
 		t.Errorf("%d tasks take %d bytes of %d", len(list), size, d.l.cfg.ValueBytes)
 	}
 }
+
+// The largest job's done bits spread over several values, each within the
+// limit, survive a change of leader, and are gone with the job's end.
+func TestLargestJob(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: wire.MaxTasks, CPUs: 1})
+	j := d.l.jobs["run-000001"]
+	for i := range wire.MaxTasks {
+		if i%10 != 9 {
+			d.l.taskDone(j, i)
+		}
+	}
+	d.now += 2 * tuning.DoneFlush
+	d.pass(3*time.Second, "n-1")
+	rep := NewReplica()
+	var bits []wire.Item
+	for key, it := range d.items {
+		if strings.HasPrefix(key, store.BitsPrefix) {
+			bits = append(bits, it)
+		}
+		if strings.HasPrefix(key, store.JobPrefix) {
+			rec, err := store.DecodeJob(it)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if size := wire.JSONSize(rec); size > 4096 {
+				t.Errorf("the job's record takes %d bytes", size)
+			}
+			rep.Live[rec.Job.ID] = &LiveJob{Record: rec, Stamp: it.Stamp}
+		}
+	}
+	next := NewLeader(d.clock(), d.l.cfg, deskTerm+1, rep, bits, nil, nil)
+	if n := next.jobs["run-000001"].nDone; n != j.nDone || len(bits) != wire.MaxTasks/tuning.BitmapTasks {
+		t.Fatalf("%d of %d done tasks recovered, from %d values", n, j.nDone, len(bits)+1)
+	}
+	for i := range wire.MaxTasks {
+		d.l.taskDone(j, i)
+	}
+	d.pass(3*time.Second, "n-1")
+	for key := range d.items {
+		if strings.HasPrefix(key, store.BitsPrefix) || strings.HasPrefix(key, store.JobPrefix) {
+			t.Errorf("%s is left", key)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -341,12 +341,11 @@
 			if have {
 				continue
 			}
-			it, err := n.state.Get(ctx, store.Second, store.TypesKey)
-			var tl wire.TypeList
-			if err != nil || it.Stamp == 0 || wire.Unmarshal(it.Value, &tl) != nil {
+			kept, err := n.storedTypes(ctx)
+			if err != nil || len(kept) == 0 {
 				continue
 			}
-			types, stored = tl.Types, tl.Types
+			types, stored = kept, kept
 		} else {
 			wait = tuning.TypesEvery
 		}
@@ -359,7 +358,7 @@
 			}
 		})
 		if lead && !sameTypes(stored, types) {
-			_, _, err := n.state.Commit(ctx, store.Third, wire.Txn{Apply: []wire.Change{{Set: store.TypesKey, Value: wire.TypeList{Types: types}}}})
+			err := n.storeTypes(ctx, types)
 			if err == nil {
 				stored = types
 			} else {
@@ -371,6 +370,37 @@
 	}
 }
 
+func (n *Node) storedTypes(ctx context.Context) ([]wire.MachineType, error) {
+	items, _, err := n.state.All(ctx, store.Second, store.TypesPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var types []wire.MachineType
+	for _, it := range items {
+		var t wire.MachineType
+		if err := wire.Unmarshal(it.Value, &t); err != nil || t.Name == "" {
+			n.log.Error("stored machine type unreadable", "key", it.Key)
+			continue
+		}
+		types = append(types, t)
+	}
+	return types, nil
+}
+
+func (n *Node) storeTypes(ctx context.Context, types []wire.MachineType) error {
+	for i, t := range types {
+		// One at a time and unhurried: starts have the writes' rate first.
+		_, _, err := n.state.Commit(ctx, store.Third, wire.Txn{Apply: []wire.Change{{Set: store.TypesPrefix + t.Name, Value: t}}})
+		if err != nil {
+			return err
+		}
+		if i > 0 && !sleep(ctx, tuning.StateRetry) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // sameTypes compares all but prices, which move.
 func sameTypes(a, b []wire.MachineType) bool {
 	if len(a) != len(b) {
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -33,7 +33,8 @@
 	serial  int
 	runFor  map[string]time.Duration // job -> run time of its tasks
 
-	refuses bool // the state service refuses everybody
+	refuses   bool // the state service refuses everybody
+	cloudDown bool
 }
 
 // NewSite makes a site. nodes are the controllers, by name.
@@ -59,6 +60,20 @@
 	s.state.SetDown(s.now(), on)
 }
 
+// Has reports whether the state service has a key.
+func (s *Site) Has(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.Get(s.now(), key).Stamp != 0
+}
+
+// CloudDown makes the cloud answer with trouble, or ends that.
+func (s *Site) CloudDown(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cloudDown = on
+}
+
 // Upload makes a job's description known to the workers, as its user does.
 func (s *Site) Upload(j *wire.Job, runFor time.Duration) {
 	s.mu.Lock()
@@ -240,7 +255,16 @@
 		sort.Slice(out.Machines, func(a, b int) bool { return out.Machines[a].Name < out.Machines[b].Name })
 		reply(w, 200, out)
 	})
-	return m
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		down := s.cloudDown
+		s.mu.Unlock()
+		if down {
+			reply(w, 503, wire.Error{Error: "trouble"})
+			return
+		}
+		m.ServeHTTP(w, r)
+	})
 }
 
 // rent makes a machine and lets it boot. Called with the lock held.
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -20,7 +20,7 @@
 	MachinePrefix = "machine/"
 	LeaderKey     = "lead/leader"
 	LeaderPrefix  = "lead/"
-	TypesKey      = "types"
+	TypesPrefix   = "type/" // a key each: together they may not fit one value
 )
 
 // JobKey and its like name the key of a record.
