--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -326,50 +326,49 @@
 }
 
 // learnTypes keeps the machine types: from the cloud, or, while that is down,
-// from the state service.
+// from the state service, where the leader keeps a copy.
 func (n *Node) learnTypes(ctx context.Context) {
-	wait := time.Duration(0)
-	var stored []wire.MachineType
-	for sleep(ctx, jitter(wait+time.Millisecond)) {
-		types, err := n.cloud.Types(ctx)
-		if err != nil {
-			n.log.Debug("machine types", "err", err)
-			wait = min(max(wait, tuning.CloudRetry)*2, tuning.CloudRetryMax)
-			n.mu.Lock()
-			have := len(n.types) > 0
-			n.mu.Unlock()
-			if have {
-				continue
-			}
-			kept, err := n.storedTypes(ctx)
-			if err != nil || len(kept) == 0 {
-				continue
-			}
-			types, stored = kept, kept
-		} else {
-			wait = tuning.TypesEvery
-		}
-		lead := false
-		n.do(func() {
-			n.types = types
-			lead = n.leader != nil
-			if lead {
-				n.leader.SetTypes(n.now(), types)
-			}
-		})
-		if lead && !sameTypes(stored, types) {
-			err := n.storeTypes(ctx, types)
-			if err == nil {
-				stored = types
+	var stored []wire.MachineType // what the state service has, as far as known
+	var due time.Time             // when the cloud is to be asked
+	pause, fromCloud := tuning.CloudRetry, false
+	for wait := time.Millisecond; sleep(ctx, jitter(wait)); wait = tuning.CloudRetry {
+		if !time.Now().Before(due) {
+			types, err := n.cloud.Types(ctx)
+			if err != nil {
+				n.log.Debug("machine types", "err", err)
+				pause = min(pause*2, tuning.CloudRetryMax)
+				due = time.Now().Add(pause)
+				if types = n.knownTypes(); len(types) == 0 {
+					types, _ = n.storedTypes(ctx) // an error leaves them unknown: asked again
+					stored = types
+				}
 			} else {
-				wait = tuning.CloudRetryMax
+				pause, fromCloud = tuning.CloudRetry, true
+				due = time.Now().Add(tuning.TypesEvery)
 			}
-		} else if !lead && len(stored) == 0 {
-			wait = min(wait, tuning.CloudRetryMax)
+			n.do(func() {
+				n.types = types
+				if n.leader != nil {
+					n.leader.SetTypes(n.now(), types)
+				}
+			})
+		}
+		types := n.knownTypes()
+		n.mu.Lock()
+		lead := n.leader != nil
+		n.mu.Unlock()
+		if lead && fromCloud && !sameTypes(stored, types) && n.storeTypes(ctx, types) == nil {
+			stored = types
 		}
 	}
 }
 
+func (n *Node) knownTypes() []wire.MachineType {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.types
+}
+
 func (n *Node) storedTypes(ctx context.Context) ([]wire.MachineType, error) {
 	items, _, err := n.state.All(ctx, store.Second, store.TypesPrefix)
 	if err != nil {
