--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -462,6 +462,9 @@
 		if ga, gb := good(a), good(b); ga != gb {
 			return ga
 		}
+		if a.job.hopeful != b.job.hopeful {
+			return b.job.hopeful
+		}
 		if a.placedAt != b.placedAt {
 			return a.placedAt > b.placedAt
 		}
@@ -545,6 +548,9 @@
 			if victims[a].job.rank != victims[b].job.rank {
 				return victims[a].job.rank > victims[b].job.rank
 			}
+			if victims[a].job.hopeful != victims[b].job.hopeful {
+				return victims[b].job.hopeful // late already: the delay costs nothing
+			}
 			return victims[a].placedAt > victims[b].placedAt
 		})
 		cost := 0.0
@@ -562,7 +568,11 @@
 			cpus -= v.job.spec.CPUs
 			gpus -= v.job.spec.GPUs
 			mem -= v.job.spec.MemoryGB
-			cost += (l.now.Mono - v.placedAt).Seconds() * max(1, v.job.spec.CPUs)
+			lost := (l.now.Mono - v.placedAt).Seconds() * max(1, v.job.spec.CPUs)
+			if !v.job.hopeful {
+				lost /= 2
+			}
+			cost += lost
 			n++
 		}
 		if fits() && cost < bestCost {
