--- a/cmd/yarrowgap/serve.go
+++ b/cmd/yarrowgap/serve.go
@@ -51,6 +51,10 @@
 	defer stop()
 	log.Info("serving", "bind", cfg.Bind, "mesh", cfg.MeshAddr, "zone", cfg.Zone, "version", version)
 
+	for _, o := range cfg.Deployment.Objectives {
+		log.Debug("objective", "kind", o.Kind, "class", o.Class, "within_s", o.WithinS, "share", o.Share)
+	}
+
 	failed := make(chan error, 2)
 	servers := []*http.Server{serve(users, api.New(n, log), log, failed), serve(peers, api.NewMesh(n, log), log, failed)}
 	done := make(chan struct{})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -36,6 +36,7 @@
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
 	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"` // of a deadline: the multiple that counts
 }
 
 // Settings is the whole file.
--- a/internal/core/deadline.go
+++ b/internal/core/deadline.go
@@ -4,6 +4,7 @@
 	"sort"
 
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
 )
 
 // duration is how long a task of the job takes to run, in seconds: the owner's
@@ -33,9 +34,29 @@
 	return s * max(j.spec.CPUs, 0.1)
 }
 
-// due is when the job should be complete, in seconds from now.
+// Aim is what a deployment expects of the completion of a class of jobs.
+type Aim struct {
+	Times  float64 // the multiple of the owner's deadline that counts; 0: no such aim
+	Within float64 // seconds from the submission; 0: no such aim
+}
+
+// dueAfter is when the job should be complete, in seconds from its submission:
+// the owner's deadline, or what the deployment expects of its class. 0: never.
+func (l *Leader) dueAfter(j *wire.Job) float64 {
+	aim := l.cfg.Aims[j.Class]
+	due := 0.0
+	if j.DueS != nil && (aim.Times > 0 || aim.Within == 0) {
+		due = *j.DueS * max(aim.Times, 1)
+	}
+	if aim.Within > 0 && j.Shape != wire.ShapeService && (due == 0 || aim.Within < due) {
+		due = aim.Within
+	}
+	return due
+}
+
+// due is the same in seconds from now.
 func (l *Leader) due(j *job) float64 {
-	return *j.spec.DueS - (l.now.Mono - j.created).Seconds()
+	return j.dueAfter - (l.now.Mono - j.created).Seconds()
 }
 
 // planDeadlines decides which jobs can still meet their deadline. Jobs are
@@ -55,7 +76,7 @@
 			capacity -= float64(j.spec.Tasks) * j.spec.CPUs
 			continue
 		}
-		if j.spec.DueS != nil {
+		if j.dueAfter > 0 {
 			list = append(list, j)
 		}
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -43,6 +43,7 @@
 	ValueBytes int
 	WriteRate  float64
 	Thrifty    bool
+	Aims       map[string]Aim // by class
 	// GuaranteeWithin is how soon work within a guarantee should start.
 	GuaranteeWithin time.Duration
 	Policy          policy.Settings
@@ -217,6 +218,7 @@
 	failedOn  map[string]bool
 	retryAt   time.Duration
 	waitSince time.Duration // since when a task of it waits; 0: none does
+	dueAfter  float64       // seconds from its submission; 0: no deadline
 	why       string        // why it waits, for people
 
 	seenRuns int     // tasks seen from their start to their completion
@@ -394,6 +396,7 @@
 	}
 	// The job's age by the time of day, moved onto our steady clock.
 	j.created = l.now.Mono - time.Duration(max(0, l.now.Wall-rec.Job.CreatedMilli))*time.Millisecond
+	j.dueAfter = l.dueAfter(&j.spec)
 	l.mergeDone(j, 0, rec.Done)
 	l.jobs[j.id] = j
 	return j
@@ -594,7 +597,7 @@
 		case c.Live != nil && j == nil:
 			j = l.addJob(c.Live)
 			l.dirtyPlace = true
-			l.line(true, "job seen", "job", j.id, "class", j.spec.Class, "tasks", j.spec.Tasks, "team", j.spec.Team, "estimate_s", j.spec.EstimateS, "due_s", dueOf(&j.spec))
+			l.line(true, "job seen", "job", j.id, "class", j.spec.Class, "tasks", j.spec.Tasks, "team", j.spec.Team, "estimate_s", j.spec.EstimateS, "due_s", j.dueAfter)
 		case c.Live != nil && c.Live.Stamp > j.stamp:
 			j.stamp = c.Live.Stamp
 			l.mergeDone(j, 0, c.Live.Record.Done)
@@ -620,13 +623,6 @@
 	l.JobsChanged(now, touched)
 }
 
-func dueOf(s *wire.Job) float64 {
-	if s.DueS == nil {
-		return -1
-	}
-	return *s.DueS
-}
-
 func (l *Leader) cancelJob(j *job) {
 	j.cancelled = true
 	l.dirtyPlace = true
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -666,3 +666,46 @@
 		}
 	}
 }
+
+// What a deployment expects of a class decides when a job is due: the owner's
+// deadline, a multiple of it, or a time of its own.
+func TestDueFollowsTheAims(t *testing.T) {
+	owner := 100.0
+	for _, tc := range []struct {
+		aim  Aim
+		due  *float64
+		want float64
+	}{
+		{Aim{}, &owner, 100},
+		{Aim{}, nil, 0},
+		{Aim{Times: 1}, &owner, 100},
+		{Aim{Times: 2}, &owner, 200},
+		{Aim{Within: 300}, &owner, 300},
+		{Aim{Within: 300}, nil, 300},
+		{Aim{Times: 1, Within: 60}, &owner, 60},
+		{Aim{Times: 1, Within: 300}, &owner, 100},
+	} {
+		d := newDesk(t, false, nil, nil)
+		d.l.cfg.Aims = map[string]Aim{"c": tc.aim}
+		if got := d.l.dueAfter(&wire.Job{Class: "c", Shape: wire.ShapeArray, DueS: tc.due}); got != tc.want {
+			t.Errorf("%+v: due after %v, want %v", tc.aim, got, tc.want)
+		}
+	}
+}
+
+// One more job than fits in time: the largest is given up, not the smallest ones.
+func TestDeadlinePlanKeepsTheMostJobs(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.l.cfg.Teams["red"] = Team{CPUs: 8, CPUsMax: 1000}
+	d.up("n-1") // 8 CPUs
+	due := 25.0
+	for i, tasks := range []int{4, 16, 4, 4} {
+		d.submit(wire.Job{ID: fmt.Sprintf("run-%06d", i), Tasks: tasks, CPUs: 1, EstimateS: 10, DueS: &due})
+	}
+	d.l.planDeadlines()
+	for id, want := range map[string]bool{"run-000000": true, "run-000001": false, "run-000002": true, "run-000003": true} {
+		if got := d.l.jobs[id].hopeful; got != want {
+			t.Errorf("%s can be on time: %v", id, got)
+		}
+	}
+}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -184,7 +184,7 @@
 	l.planDeadlines()
 	for _, j := range out {
 		j.slack = math.Inf(1) // without a deadline, after those that have one
-		if j.spec.DueS != nil {
+		if j.dueAfter > 0 {
 			j.slack = l.due(j)
 		}
 	}
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -228,7 +228,17 @@
 		Teams: map[string]core.Team{}, Zones: d.Zones,
 		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
-		Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(), Policy: n.policy,
+		Aims: map[string]core.Aim{}, Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(), Policy: n.policy,
+	}
+	for _, o := range d.Objectives {
+		aim := s.Aims[o.Class]
+		switch o.Kind {
+		case "deadline":
+			aim.Times = max(o.Times, 1)
+		case "finished":
+			aim.Within = o.WithinS
+		}
+		s.Aims[o.Class] = aim
 	}
 	for _, t := range d.Teams {
 		s.Teams[t.Name] = core.Team{CPUs: t.CPUs, CPUsMax: t.CPUsMax, GPUs: t.GPUs, GPUsMax: t.GPUsMax}
