--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -109,6 +109,9 @@
 	if m.phase != up {
 		return
 	}
+	if m.leaveBy > 0 {
+		l.evacuate(m)
+	}
 	due := false
 	for _, a := range m.list() {
 		if a.sent && !a.seen && !a.halt && a.firstSent > 0 && a.nextProbe <= l.now.Mono && !a.calling {
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -709,3 +709,39 @@
 		}
 	}
 }
+
+// On a machine that will be taken, what may complete in time runs on; what may
+// not moves if there is room; shortly before the end everything is stopped.
+func TestEvacuation(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1, EstimateS: 5})
+	d.submit(wire.Job{ID: "run-000002", Tasks: 1, CPUs: 1, EstimateS: 500})
+	d.answerAll(CallExecuted)
+	var tasks []wire.TaskReport
+	for _, a := range d.l.machines["n-1"].list() {
+		tasks = append(tasks, running(wire.Command{Task: wire.TaskName(a.ref.job, a.ref.index), Attempt: a.number}))
+	}
+	notice := func(left float64) map[string]bool {
+		r := d.view("n-1", d.token("n-1"), tasks...)
+		r.RecallS = &left
+		d.l.Checkin(d.clock(), r)
+		d.l.Tick(d.clock())
+		d.settle()
+		stopped := map[string]bool{}
+		for _, a := range d.l.machines["n-1"].list() {
+			stopped[a.ref.job] = a.halt
+		}
+		return stopped
+	}
+	if s := notice(15); s["run-000001"] || s["run-000002"] {
+		t.Errorf("stopped without room elsewhere: %v", s)
+	}
+	d.up("n-2")
+	if s := notice(14); s["run-000001"] || !s["run-000002"] {
+		t.Errorf("with room elsewhere: %v", s)
+	}
+	if s := notice(1); !s["run-000001"] {
+		t.Errorf("not stopped before the end: %v", s)
+	}
+}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -396,8 +396,12 @@
 	l.finish(j)
 }
 
-// evacuate stops what a machine that will be taken cannot finish, so that it
-// starts elsewhere the sooner.
+// evacuate stops what had better start again elsewhere before a machine is taken.
+// What can save does so. What cannot loses as much by a stop now as by the end of
+// the machine, so it runs on while it may complete in the time left, or while
+// there is no room for it elsewhere. Shortly before the end everything is stopped:
+// an exit that is reported frees the task at once, a machine that is silent
+// frees it only when its release is answered.
 func (l *Leader) evacuate(m *machine) {
 	left := (m.leaveBy - l.now.Mono).Seconds()
 	for _, a := range m.list() {
@@ -406,14 +410,13 @@
 			continue
 		}
 		save := j.spec.CheckpointS > 0 && j.spec.SaveS < left-1
-		if j.service || !a.sent || a.state != wire.TaskRunning {
-			l.stop(a, save, "machine is taken back")
-			continue
-		}
-		ran := (l.now.Mono - a.runningAt).Seconds()
-		if j.spec.EstimateS-ran > left || j.spec.CheckpointS > 0 {
-			l.stop(a, save, "machine is taken back")
+		if a.state == wire.TaskRunning && !j.service && !save {
+			rest := j.duration() - (l.now.Mono - a.runningAt).Seconds()
+			if left > tuning.EvacuateBy && (rest <= left || l.choose(j) == nil) {
+				continue
+			}
 		}
+		l.stop(a, save, "machine is taken back")
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -120,6 +120,9 @@
 	// the deployment does not say. For half of it, room may come by itself;
 	// then borrowed work is stopped.
 	GuaranteeWithin = 5 * time.Second
+	// EvacuateBy is how long before a machine is taken, in seconds, all that is
+	// left on it is stopped: a stop and its report take less than one.
+	EvacuateBy = 2.0
 	// KeepRoom is how long room that was made for a job is kept for it: stops
 	// and the write before a start take well under a second.
 	KeepRoom = 1500 * time.Millisecond
