--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -58,13 +58,11 @@
 			return err
 		}
 		var r wire.Report
-		if err := wire.Unmarshal(body, &r); err == nil {
+		err = wire.Unmarshal(body, &r)
+		if err == nil {
 			err = r.Check()
-		} else {
-			log.Error("malformed report", "from", c.Request().RemoteAddr, "err", err)
-			return send(c, http.StatusBadRequest, wire.Error{Error: "malformed report"})
 		}
-		if err := r.Check(); err != nil {
+		if err != nil {
 			log.Error("malformed report", "from", c.Request().RemoteAddr, "err", err)
 			return send(c, http.StatusBadRequest, wire.Error{Error: err.Error()})
 		}
@@ -87,6 +85,7 @@
 	e.POST(mesh.PingPath, func(c echo.Context) error {
 		var p mesh.Ping
 		if err := decode(c, 2*wire.MaxBody, &p); err != nil {
+			log.Error("malformed ping", "from", c.Request().RemoteAddr)
 			return err
 		}
 		return send(c, http.StatusOK, n.Ping(p))
@@ -106,6 +105,7 @@
 		var f mesh.Forward
 		// A submission's bytes above 0x7f take two bytes each as text.
 		if err := decode(c, 2*wire.MaxBody+1024, &f); err != nil {
+			log.Error("malformed forward", "from", c.Request().RemoteAddr)
 			return err
 		}
 		return send(c, http.StatusOK, n.Forwarded(c.Request().Context(), f))
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -310,3 +311,27 @@
 		return s == 201
 	})
 }
+
+// A node that the state service alone does not serve passes requests to a peer.
+func TestWorkPassesThroughAPeer(t *testing.T) {
+	c := start(t, 2)
+	j := job(40, 1)
+	c.site.Upload(j, time.Hour)
+	c.until("a cluster that accepts", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, j)); return s == 201 })
+	closed := listen(t)
+	closed.Close()
+	c.settings[1] = regexp.MustCompile(`state = "[^"]*"`).ReplaceAllString(c.settings[1], fmt.Sprintf("state = %q", closed.Addr()))
+	cut := c.restart(1)
+	other := job(41, 1)
+	c.site.Upload(other, time.Hour)
+	c.until("acceptance through the peer", func() bool { s, _, _ := c.do(cut, "POST", "/v2/runs", body(t, other)); return s == 201 || s == 200 })
+	if s, v, _ := c.do(cut, "GET", "/v2/runs/run-000040", nil); s != 200 || v.ID != "run-000040" {
+		t.Errorf("poll through the peer: %d %+v", s, v)
+	}
+	if s, v, _ := c.do(cut, "POST", "/v2/runs/run-000041/withdraw", nil); s != 200 || v.State != wire.JobCancelled {
+		t.Errorf("cancellation through the peer: %d %+v", s, v)
+	}
+	if s, _, _ := c.do(cut, "GET", "/v2/runs/run-999999", nil); s != 404 {
+		t.Errorf("unknown job through the peer: %d", s)
+	}
+}
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"strings"
 
 	"github.com/yarrowgap/yarrowgap/internal/rpc"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
@@ -47,7 +48,7 @@
 			return nil
 		}
 		if err := wire.Unmarshal(raw, out); err != nil {
-			return fmt.Errorf("%w: %v", ErrUnknown, err)
+			return fmt.Errorf("%w: %w: %v", ErrUnknown, rpc.ErrDecode, err)
 		}
 		return nil
 	case http.StatusTooManyRequests:
@@ -70,7 +71,7 @@
 	}
 	for _, t := range out.Types {
 		if t.Name == "" || !(t.CPUs > 0) || !(t.MemoryGB >= 0) {
-			return nil, fmt.Errorf("%w: malformed type %q", ErrUnknown, t.Name)
+			return nil, fmt.Errorf("%w: %w: type %q", ErrUnknown, rpc.ErrDecode, t.Name)
 		}
 	}
 	return out.Types, nil
@@ -101,6 +102,11 @@
 		if err := c.call(ctx, http.MethodGet, "/rentals?"+q.Encode(), nil, &p); err != nil {
 			return nil, err
 		}
+		for _, m := range p.Machines {
+			if m.Name == "" || strings.ContainsAny(m.Name, " /") {
+				return nil, fmt.Errorf("%w: %w: machine %q", ErrUnknown, rpc.ErrDecode, m.Name)
+			}
+		}
 		all = append(all, p.Machines...)
 		if !p.More || len(p.Machines) == 0 {
 			return all, nil
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -77,7 +77,7 @@
 	asked := time.Now()
 	permit, err := n.state.Grant(ctx, tuning.LeaseTTL)
 	if err != nil {
-		n.log.Debug("lease", "err", err)
+		n.trouble("lease", err)
 		return false
 	}
 	rec := store.LeaderRecord{Node: n.cfg.Node, Addr: n.cfg.MeshAddr, Boot: n.boot}
@@ -169,7 +169,7 @@
 			return
 		}
 		if err != nil {
-			n.log.Debug("renewal", "err", err)
+			n.trouble("renewal", err)
 		}
 	}
 }
@@ -189,7 +189,7 @@
 		jobs, epoch, err3 := n.state.All(ctx, store.First, store.JobPrefix)
 		err := errors.Join(err1, err2, err3)
 		if err != nil {
-			n.log.Debug("recovery", "err", err)
+			n.trouble("recovery", err)
 			if !sleep(ctx, tuning.StateRetry) {
 				return nil
 			}
@@ -257,7 +257,7 @@
 		case errors.Is(err, store.ErrTooOld):
 			n.reload(ctx)
 		case err != nil:
-			n.log.Debug("watch", "err", err)
+			n.trouble("watch", err)
 			sleep(ctx, jitter(tuning.StateRetry))
 		default:
 			n.applyChanges(c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/yarrowgap/yarrowgap/internal/core"
 	"github.com/yarrowgap/yarrowgap/internal/mesh"
 	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/rpc"
 	"github.com/yarrowgap/yarrowgap/internal/store"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/internal/worker"
@@ -212,6 +213,16 @@
 	}
 }
 
+// trouble logs a failed call: at debug if its like is to be expected, as an error
+// if the other side does not keep to the protocol.
+func (n *Node) trouble(msg string, err error, args ...any) {
+	level := slog.LevelDebug
+	if errors.Is(err, rpc.ErrDecode) {
+		level = slog.LevelError
+	}
+	n.log.Log(context.Background(), level, msg, append([]any{"err", err}, args...)...)
+}
+
 func (n *Node) commit(l *core.Leader, c core.Commit) {
 	rev, failed, err := n.state.Commit(context.Background(), store.First, c.Txn)
 	res := core.CommitUnknown
@@ -224,7 +235,7 @@
 		res = core.CommitRefused
 	}
 	if err != nil {
-		n.log.Debug("commit", "err", err, "failed", failed)
+		n.trouble("commit", err, "failed", failed)
 	}
 	if errors.Is(err, store.ErrMalformed) {
 		n.log.Error("the state service calls our write malformed", "err", err)
@@ -235,7 +246,7 @@
 func (n *Node) direct(l *core.Leader, c core.DirectCall) {
 	out, rep, err := n.workers.Commands(context.Background(), c.Addr, c.Body)
 	if err != nil {
-		n.log.Debug("direct call", "machine", c.Machine, "err", err)
+		n.trouble("direct call", err, "machine", c.Machine)
 	}
 	res := core.CallLost
 	switch out {
@@ -317,7 +328,7 @@
 		list, err := n.cloud.List(ctx)
 		if err != nil {
 			wait = min(max(wait, tuning.CloudRetry)*2, tuning.CloudRetryMax)
-			n.log.Debug("machine list", "err", err)
+			n.trouble("machine list", err)
 			continue
 		}
 		wait = tuning.ListEvery
@@ -335,7 +346,7 @@
 		if !time.Now().Before(due) {
 			types, err := n.cloud.Types(ctx)
 			if err != nil {
-				n.log.Debug("machine types", "err", err)
+				n.trouble("machine types", err)
 				pause = min(pause*2, tuning.CloudRetryMax)
 				due = time.Now().Add(pause)
 				if types = n.knownTypes(); len(types) == 0 {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// ErrDecode is returned for an answer that is not what the protocol says.
+var ErrDecode = errors.New("malformed answer")
+
 // ErrTooLarge is returned for an answer over the limit.
 var ErrTooLarge = errors.New("answer too large")
 
@@ -85,7 +88,7 @@
 		*raw = b
 	} else if out != nil && len(b) > 0 {
 		if err := wire.Unmarshal(b, out); err != nil {
-			return 0, fmt.Errorf("decode: %w", err)
+			return 0, fmt.Errorf("%w: %v", ErrDecode, err)
 		}
 	}
 	return resp.StatusCode, nil
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -91,7 +91,7 @@
 	defer cancel()
 	code, err := c.rpc.Call(ctx, method, c.base+path, in, out)
 	if err != nil {
-		return 0, fmt.Errorf("%w: %v", ErrUnknown, err)
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
 	switch code {
 	case http.StatusServiceUnavailable:
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -41,7 +41,7 @@
 		return Lost, nil, fmt.Errorf("status %d", code)
 	}
 	if err := r.Check(); err != nil {
-		return Lost, nil, err
+		return Lost, nil, fmt.Errorf("%w: %v", rpc.ErrDecode, err)
 	}
 	if code == http.StatusConflict {
 		return Refused, &r, nil
