--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -36,7 +36,6 @@
 // Settings are what the leader needs of the deployment and of the operators.
 type Settings struct {
 	Teams      map[string]Team
-	Zones      []string
 	Report     time.Duration
 	Lease      time.Duration
 	TxnOps     int
@@ -214,12 +213,13 @@
 	nActive  int   // distinct indices with attempts
 	running  int
 
-	failures  int
-	failedOn  map[string]bool
-	retryAt   time.Duration
-	waitSince time.Duration // since when a task of it waits; 0: none does
-	dueAfter  float64       // seconds from its submission; 0: no deadline
-	why       string        // why it waits, for people
+	failures   int
+	failedOn   map[string]bool
+	retryAt    time.Duration
+	waitSince  time.Duration // since when a task of it waits; 0: none does
+	dueAfter   float64       // seconds from its submission; 0: no deadline
+	placedOnce bool          // some task of it has been placed in this term
+	why        string        // why it waits, for people
 
 	seenRuns int     // tasks seen from their start to their completion
 	seenRunS float64 // the time that these ran, in seconds
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -39,7 +39,7 @@
 		rep.Live[id] = lj
 	}
 	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 64, CacheGB: 50, FetchGBs: 1, Price: 1, SpotCost: 0.5, BootS: 10, Zones: []string{"a", "b"}}}
-	cfg := Settings{Teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 16}, "blue": {CPUs: 8, CPUsMax: 16}}, Zones: []string{"a", "b"},
+	cfg := Settings{Teams: map[string]Team{"red": {CPUs: 8, CPUsMax: 16}, "blue": {CPUs: 8, CPUsMax: 16}},
 		Report: time.Second, Lease: 12 * time.Second, TxnOps: 12, ValueBytes: 4096, WriteRate: 1000, Thrifty: thrifty,
 		GuaranteeWithin: 2 * time.Second, Policy: policy.Defaults(thrifty)}
 	d.l = NewLeader(d.clock(), cfg, deskTerm, rep, nil, machines, types)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -52,6 +52,7 @@
 				}
 				continue
 			case l.placeGang(j, n):
+				l.tellPlaced(j, n)
 				j.why = ""
 				continue
 			}
@@ -69,6 +70,7 @@
 			l.assign(j, i, m)
 			placed++
 		}
+		l.tellPlaced(j, placed)
 		rest := tries - placed
 		if j.rank == 0 && n > placed {
 			p := promised[j.spec.Team]
@@ -108,6 +110,17 @@
 	return l.preempt(j, claimed, l.score(j, m, j.zones()))
 }
 
+// tellPlaced logs a job's first placement and the one that leaves nothing
+// waiting; those in between are at debug, task by task.
+func (l *Leader) tellPlaced(j *job, placed int) {
+	if placed == 0 || j.placedOnce && j.pending() > 0 {
+		return
+	}
+	j.placedOnce = true
+	l.line(false, "job placed", "job", j.id, "tasks", placed, "active", j.nActive, "waiting", j.pending(),
+		"after_s", (l.now.Mono - j.created).Seconds())
+}
+
 // stopping reports whether any attempt of the job is being stopped.
 func (j *job) stopping() bool {
 	for _, list := range j.active {
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -151,8 +151,8 @@
 	}
 	w.rules = standin.NewRules(map[string]float64{"red": simLimit, "blue": simLimit}, simCancel)
 	w.settings = core.Settings{
-		Teams: map[string]core.Team{"red": {CPUs: 12, CPUsMax: simLimit}, "blue": {CPUs: 12, CPUsMax: simLimit}},
-		Zones: []string{"a", "b"}, Report: simReport, Lease: w.lease, TxnOps: 12, ValueBytes: 4096, WriteRate: 40,
+		Teams:  map[string]core.Team{"red": {CPUs: 12, CPUsMax: simLimit}, "blue": {CPUs: 12, CPUsMax: simLimit}},
+		Report: simReport, Lease: w.lease, TxnOps: 12, ValueBytes: 4096, WriteRate: 40,
 		Policy: policy.Defaults(false),
 	}
 	for i := range 2 {
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -62,14 +62,11 @@
 
 // awaitVacancy returns when the leader's key may have changed after stamp.
 func (n *Node) awaitVacancy(ctx context.Context, stamp uint64) {
-	c, err := n.state.Changes(ctx, store.First, store.LeaderPrefix, stamp, tuning.WatchBlock)
-	if errors.Is(err, store.ErrTooOld) || err != nil {
-		// The key is old compared with what the service keeps, or the service
-		// is in trouble. Reading the key again is right in both cases.
+	if _, err := n.state.Changes(ctx, store.First, store.LeaderPrefix, stamp, tuning.WatchBlock); err != nil {
+		// The key may be older than what the service keeps, or the service is in
+		// trouble. Reading the key again is right in both cases.
 		sleep(ctx, jitter(tuning.LeaseTTL/2))
-		return
 	}
-	_ = c
 }
 
 // runForLead tries to take the free key, and leads until the lead is lost.
@@ -225,7 +222,7 @@
 func (n *Node) coreSettings() core.Settings {
 	d := &n.cfg.Deployment
 	s := core.Settings{
-		Teams: map[string]core.Team{}, Zones: d.Zones,
+		Teams:  map[string]core.Team{},
 		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
 		Aims: map[string]core.Aim{}, Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(), Policy: n.policy,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,13 +58,11 @@
 	answers  *hdrhistogram.Histogram
 
 	syncMu sync.Mutex
-	syncAt time.Time
 	next   *syncCall
 	active bool
 
 	lag                    atomic.Int64 // how late the last tick came, in nanoseconds
 	submissions, decisions chan struct{}
-	released               chan struct{} // bounds concurrent cloud calls
 }
 
 // leadInfo is what this node knows of the lead.
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -94,9 +94,7 @@
 // follow keeps a follower's replica from falling behind what watches reach.
 func (n *Node) follow(ctx context.Context) {
 	for sleep(ctx, jitter(tuning.FollowEvery)) {
-		if n.fresh(ctx) != nil {
-			continue
-		}
+		_ = n.fresh(ctx) // failing that, the next round or a poll will do
 	}
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -47,9 +47,6 @@
 	FollowEvery = 5 * time.Second
 	// StateRetry is the pause after a refusal or a lost answer.
 	StateRetry = 250 * time.Millisecond
-	// StateRetryMax is the longest such pause when refusals go on. Under a
-	// second, since service resumes only with the next try.
-	StateRetryMax = 1 * time.Second
 	// ReadPage is the page size of a full read, in items. 512 KiB a page is the
 	// service's own bound.
 	ReadPage = 500
