--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -689,6 +689,6 @@
 		// Whatever was rented is listed soon; until then nothing more of it.
 		l.noCap[r.offer] = now.Mono + tuning.CapacityPause
 	}
-	l.line(false, "rental answered", "hire", name, "result", int(res), "machines", len(machines))
+	l.line(false, "rental answered", "hire", name, "result", [...]string{"unknown", "rented", "no capacity", "refused"}[res], "machines", len(machines))
 	l.dirtyPlace = true
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -463,7 +463,7 @@
 
 func (n *Node) setLead(name string, term uint64) {
 	if n.lead.name != name || n.lead.term != term {
-		n.log.Info("leader is", "node", name, "term", term)
+		n.log.Info("leader known", "leader", name, "term", term)
 	}
 	permit := uint64(0)
 	if n.lead.term == term {
