--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -51,7 +51,12 @@
 	e.POST("/v2/runs/:id/withdraw", func(c echo.Context) error {
 		return answer(c, n.Cancel(c.Request().Context(), c.Param("id"), false))
 	})
-	e.GET("/healthz", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
+	e.GET("/healthz", func(c echo.Context) error {
+		if !n.Healthy() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
 	e.POST("/checkin", func(c echo.Context) error {
 		body, err := read(c)
 		if err != nil {
@@ -154,6 +159,9 @@
 	}
 	if a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests {
 		c.Response().Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
+		// The load balancer works on connections: on a new one the user may
+		// come to a node that is better placed.
+		c.Response().Header().Set("Connection", "close")
 	}
 	return send(c, a.Status, wire.Error{Error: a.Error})
 }
--- a/internal/cloud/client.go
+++ b/internal/cloud/client.go
@@ -31,7 +31,7 @@
 
 // New makes a client for the cloud at addr.
 func New(addr string) *Client {
-	return &Client{base: "http://" + addr, rpc: rpc.New(4, tuning.CloudTimeout, 4<<20)}
+	return &Client{base: "http://" + addr, rpc: rpc.New(4, 4, tuning.CloudTimeout, 4<<20)}
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -196,22 +196,28 @@
 // Thrifty reports whether renting should economise: if price or useful work is
 // an aim, or if the aims on starts are loose. The settings restate the aims on
 // starting and finishing alone, so the looseness of those is the sign that a
-// deployment has: one that lets a tenth of its starts be late does not ask for
-// capacity that stands ready.
+// deployment has: one that lets work within a guarantee wait for many seconds, or
+// a tenth of it be late, does not ask for capacity that stands ready. Where no aim
+// is on guarantees, those on the starts of classes decide.
 func (s *Settings) Thrifty() bool {
-	starts, loose := 0, 0
+	starts, loose := map[string]int{}, map[string]int{}
 	for _, o := range s.Deployment.Objectives {
 		switch o.Kind {
 		case "price", "useful":
 			return true
 		case "wait", "guarantee":
-			starts++
-			if o.Share < tuning.LooseShare {
-				loose++
+			starts[o.Kind]++
+			if o.Share < tuning.LooseShare || Seconds(o.WithinS) >= tuning.PatientStart {
+				loose[o.Kind]++
 			}
 		}
 	}
-	return starts > 0 && loose == starts
+	for _, kind := range []string{"guarantee", "wait"} {
+		if starts[kind] > 0 {
+			return loose[kind] == starts[kind]
+		}
+	}
+	return false
 }
 
 // GuaranteeWithin is how soon work within a guarantee should start: the
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -8,7 +8,6 @@
 	"sort"
 	"time"
 
-	"github.com/yarrowgap/yarrowgap/internal/store"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -39,6 +38,8 @@
 		l.loadAt = now.Mono
 		l.logLoad()
 	}
+	l.proveUnreadable()
+	l.foldBatches()
 	if now.Mono-l.placedAt >= time.Second {
 		l.dirtyPlace = true // capacity may be offered again, machines heard again
 	}
@@ -49,7 +50,7 @@
 func (l *Leader) Settle(now Now) {
 	l.now = now
 	l.retryDue()
-	if l.dirtyPlace && now.Mono-l.placedAt >= tuning.PlaceGap {
+	if l.dirtyPlace && now.Mono-l.placedAt >= l.placeGap() {
 		l.placedAt = now.Mono
 		left := l.place()
 		l.rent(left)
@@ -63,10 +64,16 @@
 	}
 }
 
+// placeGap is the least time between two rounds: a round looks at every machine.
+func (l *Leader) placeGap() time.Duration {
+	return tuning.PlaceGap + time.Duration(len(l.machines))*tuning.PlaceGapMachine
+}
+
 // retryDue wakes jobs whose pause after a failure is over.
 func (l *Leader) retryDue() {
-	for _, j := range l.jobs {
-		if j.retryAt > 0 && l.now.Mono >= j.retryAt {
+	for j := range l.pausing {
+		if l.now.Mono >= j.retryAt {
+			delete(l.pausing, j)
 			j.retryAt = 0
 			l.dirtyPlace = true
 		}
@@ -112,29 +119,39 @@
 	if m.leaveBy > 0 {
 		l.evacuate(m)
 	}
-	due := false
-	for _, a := range m.list() {
+	due, waiting := false, false
+	var over []*attempt
+	for _, a := range m.tasks {
+		waiting = waiting || a.sent && !a.seen
 		if a.sent && !a.seen && !a.halt && a.firstSent > 0 && a.nextProbe <= l.now.Mono && !a.calling {
 			// The next probe would be sent now: give up if it is too late for it.
-			if l.now.Mono >= l.horizon(a) || a.job == nil {
-				a.giveUp = true
-				l.count.ProbeGiveUp++
-				l.line(false, "start never acknowledged, giving up", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", m.name, "probes", a.probes)
-				l.failures = append(l.failures, Failure{wire.TaskName(a.ref.job, a.ref.index), a.number, m.name, "ack timeout", l.now.Wall})
-				l.stop(a, false, "start never acknowledged")
+			if l.now.Mono >= l.horizon(a) {
+				over = append(over, a)
 				continue
 			}
 			due = true
+			if m.heardAt > a.firstSent+tuning.DeafAfter {
+				// Its reports arrive, what we send does not.
+				l.deaf(m, "a start is not acknowledged")
+			}
 		}
 		if a.halt && l.now.Mono-a.haltedAt >= tuning.HaltRepeat {
 			due = true
 		}
 	}
+	sortAttempts(over)
+	for _, a := range over {
+		a.giveUp = true
+		l.count.ProbeGiveUp++
+		l.line(false, "start never acknowledged, giving up", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", m.name, "probes", a.probes)
+		l.failures = append(l.failures, Failure{wire.TaskName(a.ref.job, a.ref.index), a.number, m.name, "ack timeout", l.now.Wall})
+		l.stop(a, false, "start never acknowledged")
+	}
 	if due {
 		l.push(m)
 	}
 	quiet := l.now.Mono - m.heardAt
-	if quiet > l.cfg.Report*2 || !m.confirmed || l.waiting(m) && m.seenToken < l.token(m) {
+	if quiet > l.cfg.Report*2 || !m.confirmed || m.deafSince > 0 || waiting && m.seenToken < l.token(m) {
 		l.poke(m)
 	}
 }
@@ -142,7 +159,7 @@
 // Listed takes the cloud's list, as it was a while ago.
 func (l *Leader) Listed(now Now, list []wire.ListedMachine) {
 	l.now = now
-	l.listed = true
+	l.listed, l.listedAt = true, now.Mono
 	for _, m := range l.machines {
 		m.missing++
 	}
@@ -181,11 +198,20 @@
 	}
 	silentZone := l.silentZones()
 	var names []string
+	var spare *spare // looked at once, and only if a machine stands idle
 	for _, m := range l.sorted() {
 		if len(names) == tuning.ReleaseMax {
 			break
 		}
 		why := l.returnReason(m, silentZone)
+		if why == "" && l.idle(m) {
+			if spare == nil {
+				spare = l.newSpare()
+			}
+			if spare.without(m) {
+				why = "idle"
+			}
+		}
 		if why == "" {
 			continue
 		}
@@ -239,19 +265,25 @@
 		// be old. So this proves nothing: the answer to the release does.
 		return "silent and no longer listed"
 	}
+	if m.deafSince > 0 && now-m.deafSince > l.cfg.Lease {
+		return "nothing reaches it"
+	}
 	if quiet > limit {
 		return "silent for longer than its lease"
 	}
 	if len(m.tasks) == 0 && m.leaveBy == 0 && m.suspect > now {
 		return "unrelated jobs fail there"
 	}
-	if len(m.tasks) == 0 && m.leaveBy == 0 && !l.dirtyPlace && quiet < l.cfg.Report*2 &&
-		now-max(m.idleSince, m.upAt) > l.idleFor(m) && l.spareWithout(m) && l.roomForService(m) == nil {
-		return "idle"
-	}
 	return ""
 }
 
+// idle reports whether the machine has stood idle for long enough.
+func (l *Leader) idle(m *machine) bool {
+	now := l.now.Mono
+	return m.phase == up && len(m.tasks) == 0 && m.leaveBy == 0 && !l.dirtyPlace && now-m.heardAt < l.cfg.Report*2 &&
+		now-max(m.idleSince, m.upAt) > l.idleFor(m)
+}
+
 // idleFor is how long a machine may stand idle: longer if it is cheap.
 func (l *Leader) idleFor(m *machine) time.Duration {
 	d := l.cfg.Policy.IdleRelease
@@ -261,51 +293,86 @@
 	return d
 }
 
-// roomForService looks whether the next service would find room at once on the
-// machines that are up, without the given one: as many tasks as the largest live
-// service job has, in its zones, on ordinary machines that no other service
-// fills (lower work there makes way). If not, it returns that job. Without this,
-// a fleet that is economised down to what its services fill makes the next one
-// wait for a boot.
-func (l *Leader) roomForService(without *machine) *job {
-	var big *job
+// spare says whether enough room would be left without a machine: spare capacity
+// as the operators want it, and room at once for the next service, of as many
+// tasks as the largest live service job has, in its zones, on ordinary machines
+// that no other service fills (lower work there makes way). Without the latter, a
+// fleet that is economised down to what its services fill makes the next one wait
+// for a boot.
+type spare struct {
+	l           *Leader
+	used, total float64
+	big         *job // the largest service, or nil
+	room        map[string]int
+	roomOn      map[*machine]int
+}
+
+func (l *Leader) newSpare() *spare {
+	s := &spare{l: l, room: map[string]int{}, roomOn: map[*machine]int{}}
+	s.used, s.total = l.capacity()
+	size := func(j *job) float64 { return float64(j.spec.Tasks) * j.spec.CPUs }
 	for _, j := range l.jobs {
-		if j.service && !j.cancelled && !j.archived && (big == nil || float64(j.spec.Tasks)*j.spec.CPUs > float64(big.spec.Tasks)*big.spec.CPUs ||
-			float64(j.spec.Tasks)*j.spec.CPUs == float64(big.spec.Tasks)*big.spec.CPUs && j.id < big.id) {
-			big = j
+		if j.service && !j.cancelled && !j.archived && (s.big == nil || size(j) > size(s.big) || size(j) == size(s.big) && j.id < s.big.id) {
+			s.big = j
 		}
 	}
-	if big == nil {
-		return nil
+	if s.big == nil {
+		return s
 	}
-	zones := map[string]int{}
-	total := 0
+	j := s.big
 	for _, m := range l.machines {
-		if m == without || m.spot || m.phase != up || m.mt == nil || m.failed || m.leaveBy > 0 || !big.allows(m.typ, m.zone, m.spot) {
+		if m.spot || m.phase != up || m.mt == nil || m.failed || m.leaveBy > 0 || m.deafSince > 0 || !j.allows(m.typ, m.zone, m.spot) {
 			continue
 		}
 		cpus, mem := m.mt.CPUs, m.mt.MemoryGB
 		for _, a := range m.tasks {
-			if a.job != nil && a.job.rank <= big.rank {
+			if a.job != nil && a.job.rank <= j.rank {
 				cpus -= a.job.spec.CPUs
 				mem -= a.job.spec.MemoryGB
 			}
 		}
 		n := 1 << 20
-		if big.spec.CPUs > 0 {
-			n = min(n, int(math.Floor(cpus/big.spec.CPUs+epsilon)))
+		if j.spec.CPUs > 0 {
+			n = min(n, int(math.Floor(cpus/j.spec.CPUs+epsilon)))
 		}
-		if big.spec.MemoryGB > 0 {
-			n = min(n, int(math.Floor(mem/big.spec.MemoryGB+epsilon)))
+		if j.spec.MemoryGB > 0 {
+			n = min(n, int(math.Floor(mem/j.spec.MemoryGB+epsilon)))
 		}
-		n = min(max(n, 0), big.spec.ZoneCap()-zones[m.zone])
-		zones[m.zone] += n
-		total += n
+		s.roomOn[m] = max(n, 0)
+		s.room[m.zone] += max(n, 0)
+	}
+	return s
+}
+
+// enough reports whether the next service finds room.
+func (s *spare) enough() bool {
+	if s.big == nil {
+		return true
+	}
+	total := 0
+	for _, n := range s.room {
+		total += min(n, s.big.spec.ZoneCap())
+	}
+	return total >= s.big.spec.Tasks
+}
+
+// without takes a machine away, if enough is left then.
+func (s *spare) without(m *machine) bool {
+	cpus := 0.0
+	if m.mt != nil {
+		cpus = m.mt.CPUs
+	}
+	if s.total-cpus < s.used*(1+s.l.cfg.Policy.SpareShare) {
+		return false
 	}
-	if total >= big.spec.Tasks {
-		return nil
+	s.room[m.zone] -= s.roomOn[m]
+	if !s.enough() {
+		s.room[m.zone] += s.roomOn[m]
+		return false
 	}
-	return big
+	delete(s.roomOn, m)
+	s.total -= cpus
+	return true
 }
 
 // silentZones are the zones in which every machine is silent, while there is
@@ -384,10 +451,11 @@
 		l.detach(a)
 		l.ended(a, "machine gone")
 	}
-	delete(l.machines, m.name)
-	if m.stamp > 0 || m.writing {
-		l.tombs = append(l.tombs, store.MachineKey(m.name))
+	for b := range m.batches {
+		b.ghosts = true
 	}
+	delete(l.machines, m.name)
+	l.byName = nil
 	l.dirtyPlace = true
 }
 
@@ -416,13 +484,16 @@
 // rent asks for machines for what could not be placed, counting those that are
 // on their way, and for spare ones where price is no aim.
 func (l *Leader) rent(left []want) {
-	if len(l.types) == 0 || !l.listed {
+	if len(l.types) == 0 || !l.listed || l.rentAt > 0 && l.now.Mono-l.rentAt < tuning.RentGap {
 		return
 	}
+	l.rentAt = l.now.Mono
 	var coming []*slot
+	perZone := map[string]int{}
 	count := 0
 	for _, m := range l.sorted() {
 		if m.phase != releasing {
+			perZone[m.zone]++
 			count++
 		}
 		if m.phase == booting && !m.failed && m.mt != nil {
@@ -440,6 +511,7 @@
 			for i := 0; i < r.count; i++ {
 				coming = append(coming, newSlot(t, r.offer.zone, r.offer.spot))
 			}
+			perZone[r.offer.zone] += r.count
 			count += r.count
 		}
 	}
@@ -448,43 +520,42 @@
 		if l.cfg.Policy.MaxMachines > 0 && count >= l.cfg.Policy.MaxMachines {
 			return false
 		}
-		o, ok := l.bestOffer(j, coming)
+		o, ok := l.bestOffer(j, perZone)
 		if !ok {
 			return false
 		}
 		orders[o]++
+		perZone[o.zone]++
 		count++
 		coming = append(coming, newSlot(l.types[o.typ], o.zone, o.spot))
 		return true
 	}
 	for _, w := range left {
-		n := l.worthRenting(w)
-		for k := 0; k < n; k++ {
-			fits := false
-			for _, s := range coming {
-				if s.take(w.j) {
-					fits = true
-					break
-				}
+		n := w.n
+		for _, s := range coming {
+			for n > 0 && s.take(w.j) {
+				n--
 			}
-			if !fits {
-				if !order(w.j) {
-					break
-				}
-				coming[len(coming)-1].take(w.j)
+		}
+		for n > 0 && order(w.j) {
+			s := coming[len(coming)-1]
+			if !s.take(w.j) {
+				break
+			}
+			for n--; n > 0 && s.take(w.j); n-- {
 			}
 		}
 	}
-	if j := l.roomForService(nil); j != nil {
+	if s := l.newSpare(); !s.enough() {
 		fits := false
-		for _, s := range coming {
-			fits = fits || !s.spot && s.take(j)
+		for _, c := range coming {
+			fits = fits || !c.spot && c.take(s.big)
 		}
 		if !fits {
-			order(j)
+			order(s.big)
 		}
 	}
-	l.rentSpare(coming, orders, &count)
+	l.rentSpare(perZone, orders, &count)
 	keys := make([]offer, 0, len(orders))
 	for o := range orders {
 		keys = append(keys, o)
@@ -504,9 +575,6 @@
 	}
 }
 
-// worthRenting is how many of the tasks left over are worth a new machine.
-func (l *Leader) worthRenting(w want) int { return w.n }
-
 func (l *Leader) order(o offer, n int) {
 	l.nextHire++
 	// The term makes the name unlike any other leader's, the counter unlike
@@ -518,16 +586,7 @@
 }
 
 // bestOffer chooses what to rent for a job, or, without one, as spare.
-func (l *Leader) bestOffer(j *job, coming []*slot) (offer, bool) {
-	perZone := map[string]int{}
-	for _, m := range l.machines {
-		if m.phase != releasing {
-			perZone[m.zone]++
-		}
-	}
-	for _, s := range coming {
-		perZone[s.zone]++
-	}
+func (l *Leader) bestOffer(j *job, perZone map[string]int) (offer, bool) {
 	var z map[string]int
 	if j != nil {
 		z = j.zones()
@@ -614,7 +673,7 @@
 	return used, total
 }
 
-func (l *Leader) rentSpare(coming []*slot, orders map[offer]int, count *int) {
+func (l *Leader) rentSpare(perZone map[string]int, orders map[offer]int, count *int) {
 	if l.cfg.Policy.SpareShare <= 0 {
 		return
 	}
@@ -631,26 +690,17 @@
 		if l.cfg.Policy.MaxMachines > 0 && *count >= l.cfg.Policy.MaxMachines {
 			return
 		}
-		o, ok := l.bestOffer(nil, coming)
+		o, ok := l.bestOffer(nil, perZone)
 		if !ok {
 			return
 		}
 		orders[o]++
+		perZone[o.zone]++
 		*count++
-		coming = append(coming, newSlot(l.types[o.typ], o.zone, o.spot))
 		total += l.types[o.typ].CPUs
 	}
 }
 
-// spareWithout reports whether enough spare capacity stays without m.
-func (l *Leader) spareWithout(m *machine) bool {
-	used, total := l.capacity()
-	if m.mt == nil {
-		return true
-	}
-	return total-m.mt.CPUs >= used*(1+l.cfg.Policy.SpareShare)
-}
-
 // RentResult says what became of a rental.
 type RentResult int
 
@@ -675,7 +725,7 @@
 		l.count.Rented += uint64(len(machines))
 		for _, n := range machines {
 			if l.machines[n] == nil && !l.gone[n] {
-				l.addMachine(n, r.offer.typ, r.offer.zone, r.offer.spot, "")
+				l.addMachine(n, r.offer.typ, r.offer.zone, r.offer.spot, "").ours = true
 			}
 		}
 		if len(machines) < r.count {
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -1,9 +1,10 @@
 package core
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"sort"
+	"strings"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/store"
@@ -28,7 +29,7 @@
 
 // room reports whether the transaction can take n more changes.
 func (l *Leader) room(t *txn, n int) bool {
-	return len(t.t.Apply)+n <= l.cfg.TxnOps && t.bytes < 40<<10 &&
+	return len(t.t.Apply)+n <= l.cfg.TxnOps && t.bytes < tuning.TxnBytes &&
 		float64(len(t.t.Apply)+n) <= l.budget
 }
 
@@ -38,16 +39,15 @@
 	l.budgetAt = l.now.Mono
 }
 
-// flush writes what is due, the most urgent first: ended jobs, machines whose
-// starts wait for their record, then what can wait.
+// flush writes what is due, the most urgent first: ended jobs, starts that wait
+// for their record, then what can wait.
 func (l *Leader) flush() {
 	l.refill()
 	for len(l.commits) < maxCommits && l.now.Mono >= l.holdOff {
 		t := l.newTxn(l.term)
 		l.gatherEnded(t)
-		l.gatherMachines(t, true)
+		l.gatherBatches(t)
 		l.gatherProgress(t)
-		l.gatherMachines(t, false)
 		l.gatherDeleted(t)
 		if len(t.t.Apply) == 0 {
 			return
@@ -61,12 +61,17 @@
 
 func (l *Leader) dueJobs(after time.Duration) []*job {
 	var out []*job
-	for _, j := range l.jobs {
+	for j := range l.dirtyJobs {
 		if j.dirtyAt > 0 && !j.writing && !j.archived && l.now.Mono >= j.blocked && l.now.Mono-j.dirtyAt >= after {
 			out = append(out, j)
 		}
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].id < out[b].id })
+	slices.SortFunc(out, func(a, b *job) int {
+		if c := cmp.Compare(a.dirtyAt, b.dirtyAt); c != 0 {
+			return c
+		}
+		return strings.Compare(a.id, b.id)
+	})
 	return out
 }
 
@@ -96,14 +101,23 @@
 	}
 }
 
+// doneFlush is how long done tasks wait for their write: longer where many jobs
+// have some, since each job's write is one of its own.
+func (l *Leader) doneFlush() time.Duration {
+	return max(tuning.DoneFlush, time.Duration(float64(len(l.dirtyJobs))/(l.cfg.WriteRate*tuning.ProgressShare)*float64(time.Second)))
+}
+
 // gatherProgress writes done tasks of unfinished jobs.
 func (l *Leader) gatherProgress(t *txn) {
-	for _, j := range l.dueJobs(tuning.DoneFlush) {
+	for _, j := range l.dueJobs(l.doneFlush()) {
 		if j.over() {
 			continue
 		}
+		if l.budget-float64(len(t.t.Apply)) < l.cfg.WriteRate*tuning.WriteReserve {
+			return // starts, and jobs that end, come first
+		}
 		if j.nDone == j.nSaved {
-			j.dirtyAt = 0
+			l.clean(j)
 			continue
 		}
 		w := jobWrite{j: j, saved: append(store.Bitmap(nil), j.done...)}
@@ -136,55 +150,8 @@
 	}
 }
 
-// gatherMachines writes machine records: those for which a start waits, or
-// those that have been out of date for a while.
-func (l *Leader) gatherMachines(t *txn, urgent bool) {
-	var due []*machine
-	for _, m := range l.machines {
-		if !m.dirty || m.writing || m.reading || m.urgent != urgent {
-			continue
-		}
-		if !urgent && l.now.Mono-m.dirtyAt < tuning.RecordFlush {
-			continue
-		}
-		due = append(due, m)
-	}
-	rank := func(m *machine) int {
-		best := 9
-		for _, a := range m.tasks {
-			if !a.recorded && a.job != nil {
-				best = min(best, a.job.rank)
-			}
-		}
-		return best
-	}
-	sort.Slice(due, func(a, b int) bool {
-		if urgent {
-			if x, y := rank(due[a]), rank(due[b]); x != y {
-				return x < y
-			}
-		}
-		if due[a].dirtyAt != due[b].dirtyAt {
-			return due[a].dirtyAt < due[b].dirtyAt
-		}
-		return due[a].name < due[b].name
-	})
-	for _, m := range due {
-		if !l.room(t, 1) {
-			return
-		}
-		rec, list := m.record()
-		t.t.If = append(t.t.If, wire.Condition{Key: store.MachineKey(m.name), Stamp: m.stamp})
-		t.t.Apply = append(t.t.Apply, wire.Change{Set: store.MachineKey(m.name), Value: rec})
-		t.bytes += 200 + len(list)*tuning.RecordTaskBytes
-		m.dirty, m.urgent, m.writing = false, false, true
-		t.state.machines = append(t.state.machines, m)
-		t.state.recorded = append(t.state.recorded, list)
-	}
-}
-
-// gatherDeleted deletes the records of machines that are gone for good, and the
-// further done bits of ended jobs.
+// gatherDeleted deletes batches that nothing needs any more, and the further done
+// bits of ended jobs.
 func (l *Leader) gatherDeleted(t *txn) {
 	for len(l.tombs) > 0 && l.room(t, 1) {
 		key := l.tombs[0]
@@ -194,32 +161,6 @@
 	}
 }
 
-// record is what is written of a machine, with the attempts it covers.
-func (m *machine) record() (store.MachineRecord, []*attempt) {
-	rec := store.MachineRecord{Type: m.typ, Zone: m.zone, Spot: m.spot, Address: m.addr}
-	list := m.list()
-	if len(list) > 0 {
-		rec.Tasks = map[string][]store.Assigned{}
-	}
-	for _, a := range list {
-		rec.Tasks[a.ref.job] = append(rec.Tasks[a.ref.job], store.Assigned{Index: a.ref.index, Attempt: a.number})
-	}
-	for i := len(m.images) - 1; i >= 0 && len(rec.Images) < 6; i-- {
-		rec.Images = append([]string{m.images[i].name}, rec.Images...)
-	}
-	return rec, list
-}
-
-// recordRoom reports whether a machine's record can take one more task.
-func (l *Leader) recordRoom(m *machine) bool {
-	jobs := map[string]bool{}
-	for ref := range m.tasks {
-		jobs[ref.job] = true
-	}
-	size := 1200 + (len(m.tasks)+1)*(tuning.RecordTaskBytes+16) + (len(jobs)+1)*tuning.RecordJobBytes
-	return float64(size) < float64(l.cfg.ValueBytes)*(1-tuning.ValueSlack)
-}
-
 // CommitResult says what became of a transaction.
 type CommitResult int
 
@@ -258,26 +199,8 @@
 	for _, w := range cs.jobs {
 		l.jobWritten(w, res, rev, bad)
 	}
-	for i, m := range cs.machines {
-		m.writing = false
-		if l.machines[m.name] != m {
-			continue
-		}
-		switch {
-		case res == CommitDone:
-			m.stamp = rev
-			for _, a := range cs.recorded[i] {
-				a.recorded = true
-			}
-			l.push(m)
-		default:
-			l.touch(m, true)
-			if res == CommitUnknown || bad[store.MachineKey(m.name)] {
-				// It may have been written; its stamp tells.
-				m.reading = true
-				l.out.Reads = append(l.out.Reads, m.name)
-			}
-		}
+	for _, b := range cs.batches {
+		l.batchWritten(b, res, bad)
 	}
 	l.flush()
 }
@@ -306,7 +229,8 @@
 		}
 		l.line(false, "job over", "job", j.id, "state", state, "after_s", (l.now.Mono - j.created).Seconds())
 		j.saved = append(store.Bitmap(nil), j.done...)
-		j.nSaved, j.dirtyAt = j.nDone, 0
+		j.nSaved = j.nDone
+		l.clean(j)
 		l.dropJob(j)
 		return
 	}
@@ -319,26 +243,8 @@
 		_ = j.saved.Merge(k, w.saved.Encode(k))
 	}
 	j.nSaved = j.saved.Count()
-	if j.nSaved == j.nDone && !j.over() {
-		j.dirtyAt = 0
-	} else {
-		j.dirtyAt = l.now.Mono
-	}
-}
-
-// RecordRead takes a machine's record read after a lost or refused write.
-// Stamp 0: there is none.
-func (l *Leader) RecordRead(now Now, name string, stamp uint64, ok bool) {
-	l.now = now
-	m := l.machines[name]
-	if m == nil || !m.reading {
-		return
+	l.clean(j)
+	if j.nSaved != j.nDone || j.over() {
+		l.touch(j)
 	}
-	if !ok {
-		l.out.Reads = append(l.out.Reads, name)
-		return
-	}
-	m.reading, m.stamp = false, stamp
-	l.touch(m, true)
-	l.flush()
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -13,6 +13,7 @@
 	"maps"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/policy"
@@ -45,6 +46,7 @@
 	Aims       map[string]Aim // by class
 	// GuaranteeWithin is how soon work within a guarantee should start.
 	GuaranteeWithin time.Duration
+	ListLag         time.Duration // by which the cloud's list is old
 	Policy          policy.Settings
 }
 
@@ -52,7 +54,6 @@
 type Effects struct {
 	Direct  []DirectCall
 	Commits []Commit
-	Reads   []string // machine records to read again
 	Rent    []Rental
 	Release [][]string
 	Resign  string // why the lead has to be given up, if it has to
@@ -136,14 +137,14 @@
 	extras          []wire.Command   // stops of attempts that are not in our picture
 	images          []image          // most recently used last
 	cpus, gpus, mem float64
+	digest          *digest         // what placement asks of its tasks, until they change
+	batches         map[*batch]bool // records that name it
 
-	// Its record.
-	stamp   uint64
-	dirty   bool
-	urgent  bool
-	dirtyAt time.Duration
-	writing bool
-	reading bool
+	// deafSince is since when it seems that nothing reaches it although its
+	// reports arrive; 0: it hears us. See deaf.
+	deafSince  time.Duration
+	answeredAt time.Duration // its last report, which we answered
+	ours       bool          // rented in this term
 }
 
 type image struct {
@@ -163,7 +164,9 @@
 	m      *machine
 	number uint64
 
-	recorded bool // in the machine's durable record
+	recorded bool // durably
+	queued   bool // to be written with the next batch
+	batches  []*batch
 	sent     bool // a start has been or may have been sent
 	seen     bool // the worker has listed it: the start is acknowledged
 	state    string
@@ -221,10 +224,16 @@
 	placedOnce bool          // some task of it has been placed in this term
 	why        string        // why it waits, for people
 
+	roomAt    time.Duration // when hasRoom was last asked, and what it said
+	room      bool
+	preemptAt time.Duration // last time that room was looked for by preemption
+	recovered bool          // from a time before our term
+
 	seenRuns int     // tasks seen from their start to their completion
 	seenRunS float64 // the time that these ran, in seconds
 
 	hopeful bool    // can still meet its deadline, as of the last round
+	overdue bool    // nothing of it was begun for long
 	within  bool    // inside its team's guarantee, as of the last round
 	slack   float64 // seconds until it is due, as of the last round
 }
@@ -278,9 +287,19 @@
 	rentals  map[string]*rentalState
 	noCap    map[offer]time.Duration
 
-	budget   float64
-	budgetAt time.Duration
-	holdOff  time.Duration // no writes until then: the state service refused
+	byName    []*machine // by name; nil after a machine came or went
+	batches   map[string]*batch
+	toRecord  []*attempt
+	nextBatch time.Duration // no batch until then
+	dark      []string      // records that could not be read
+	dirtyJobs map[*job]bool // with something to write
+	pausing   map[*job]bool // after a failed attempt
+	polling   int           // questions that are out
+	rentAt    time.Duration // when machines were last asked for
+	listedAt  time.Duration // when the cloud's list last came
+	budget    float64
+	budgetAt  time.Duration
+	holdOff   time.Duration // no writes until then: the state service refused
 
 	dirtyPlace bool
 	placedAt   time.Duration
@@ -295,10 +314,9 @@
 }
 
 type commitState struct {
-	machines []*machine
-	recorded [][]*attempt
-	jobs     []jobWrite
-	deleted  []string // keys deleted
+	batches []*batch
+	jobs    []jobWrite
+	deleted []string // keys deleted
 }
 
 type jobWrite struct {
@@ -313,6 +331,7 @@
 	m     *machine
 	fence uint64
 	runs  []*attempt
+	poll  bool // only a question
 }
 
 type offer struct {
@@ -326,26 +345,28 @@
 	at    time.Duration
 }
 
-// NewLeader starts a term. machines are the records under store.MachinePrefix.
-func NewLeader(now Now, cfg Settings, term uint64, rep *Replica, bits []wire.Item, machines []wire.Item, types []wire.MachineType) *Leader {
+// NewLeader starts a term. records are those under store.BatchPrefix and
+// store.MachinePrefix.
+func NewLeader(now Now, cfg Settings, term uint64, rep *Replica, bits []wire.Item, records []wire.Item, types []wire.MachineType) *Leader {
 	l := &Leader{
 		cfg: cfg, term: term, now: now,
 		machines: map[string]*machine{}, jobs: map[string]*job{},
 		types: map[string]*wire.MachineType{}, usage: map[string]*Team{},
 		commits: map[uint64]*commitState{}, calls: map[uint64]*callState{},
 		rentals: map[string]*rentalState{}, noCap: map[offer]time.Duration{},
-		gone: map[string]bool{}, pushDue: map[string]bool{},
+		gone: map[string]bool{}, pushDue: map[string]bool{}, batches: map[string]*batch{},
+		dirtyJobs: map[*job]bool{}, pausing: map[*job]bool{},
 		budget: cfg.WriteRate, budgetAt: now.Mono,
 		heardAny: now.Mono, startedAt: now.Mono, dirtyPlace: true, placedAt: now.Mono - time.Second,
 	}
 	l.SetTypes(now, types)
 	for _, lj := range rep.Live {
-		l.addJob(lj)
+		l.addJob(lj).recovered = true
 	}
 	for _, it := range bits {
 		l.addBits(it)
 	}
-	for _, it := range machines {
+	for _, it := range records {
 		l.addRecord(it)
 	}
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
@@ -429,51 +450,21 @@
 	l.mergeDone(j, chunk, rec.Done)
 }
 
-// addRecord takes over a machine from its record. What is recorded there may
-// run there, or may yet be started by a command of an earlier leader, so it
-// stays until the worker reports under our token.
-func (l *Leader) addRecord(it wire.Item) {
-	var rec store.MachineRecord
-	name := store.IDOf(store.MachinePrefix, it.Key)
-	if err := wire.Unmarshal(it.Value, &rec); err != nil {
-		l.line(false, "machine record unreadable", "machine", name, "err", err.Error())
-		return
-	}
-	m := l.addMachine(name, rec.Type, rec.Zone, rec.Spot, rec.Address)
-	m.phase, m.upAt = up, l.now.Mono
-	m.stamp = it.Stamp
-	// It reported in an earlier term, so the cloud lists it, but for the list's
-	// lag; a few more lists make up for that.
-	m.listedOnce, m.missing = true, -tuning.MissingLists
-	for _, im := range rec.Images {
-		m.images = append(m.images, image{name: im})
-	}
-	for _, id := range slices.Sorted(maps.Keys(rec.Tasks)) {
-		list := rec.Tasks[id]
-		for _, a := range list {
-			ref := taskRef{id, a.Index}
-			if j := l.jobs[id]; j != nil && (a.Index >= j.spec.Tasks || j.done.Has(a.Index)) {
-				continue
-			}
-			at := &attempt{ref: ref, job: l.jobs[id], m: m, number: a.Attempt, recorded: true, sent: true, placedAt: l.now.Mono}
-			l.attach(at)
-		}
-	}
-}
-
 func (l *Leader) addMachine(name, typ, zone string, spot bool, addr string) *machine {
 	m := &machine{
 		name: name, typ: typ, zone: zone, spot: spot, addr: addr, mt: l.types[typ],
 		rentedAt: l.now.Mono, knownAt: l.now.Mono, heardAt: l.now.Mono, idleSince: l.now.Mono,
-		tasks: map[taskRef]*attempt{}, exited: map[taskRef]exit{}, failedBy: map[string]bool{},
+		tasks: map[taskRef]*attempt{}, exited: map[taskRef]exit{}, failedBy: map[string]bool{}, batches: map[*batch]bool{},
 	}
 	l.machines[name] = m
+	l.byName = nil
 	return m
 }
 
 // attach enters an attempt everywhere that counts it.
 func (l *Leader) attach(a *attempt) {
 	a.m.tasks[a.ref] = a
+	a.m.digest = nil
 	if a.job == nil {
 		return
 	}
@@ -506,13 +497,15 @@
 		return
 	}
 	delete(m.tasks, a.ref)
+	m.digest = nil
 	if len(m.tasks) == 0 {
 		m.idleSince = l.now.Mono
 		m.cpus, m.gpus, m.mem = 0, 0, 0 // sheds rounding
 	}
-	if a.recorded {
-		l.touch(m, false)
+	for _, b := range a.batches {
+		l.unneed(b, a)
 	}
+	a.batches = nil
 	l.dirtyPlace = true
 	j := a.job
 	if j == nil {
@@ -550,14 +543,6 @@
 	}
 }
 
-// touch marks a machine's record as out of date. Urgent: a start waits for it.
-func (l *Leader) touch(m *machine, urgent bool) {
-	if !m.dirty {
-		m.dirty, m.dirtyAt = true, l.now.Mono
-	}
-	m.urgent = m.urgent || urgent
-}
-
 // nextFree takes an index of the job that neither is done nor has an attempt.
 func (j *job) nextFree() (int, bool) {
 	for len(j.returned) > 0 {
@@ -577,13 +562,16 @@
 	return 0, false
 }
 
+// sorted gives the machines by name. The slice is not to be changed.
 func (l *Leader) sorted() []*machine {
-	ms := make([]*machine, 0, len(l.machines))
-	for _, m := range l.machines {
-		ms = append(ms, m)
+	if l.byName == nil {
+		l.byName = make([]*machine, 0, len(l.machines))
+		for _, m := range l.machines {
+			l.byName = append(l.byName, m)
+		}
+		slices.SortFunc(l.byName, func(a, b *machine) int { return strings.Compare(a.name, b.name) })
 	}
-	sort.Slice(ms, func(a, b int) bool { return ms[a].name < ms[b].name })
-	return ms
+	return l.byName
 }
 
 // JobsChanged tells the leader what a watch saw.
@@ -663,12 +651,24 @@
 // finish marks a job as due for its last write once nothing of it is left.
 func (l *Leader) finish(j *job) {
 	if j.nDone == j.spec.Tasks || j.cancelled && j.nActive == 0 {
-		if j.dirtyAt == 0 {
-			j.dirtyAt = l.now.Mono
-		}
+		l.touch(j)
 	}
 }
 
+// touch notes that there is something of the job to write.
+func (l *Leader) touch(j *job) {
+	if j.dirtyAt == 0 {
+		j.dirtyAt = l.now.Mono
+		l.dirtyJobs[j] = true
+	}
+}
+
+// clean notes that there is not.
+func (l *Leader) clean(j *job) {
+	j.dirtyAt = 0
+	delete(l.dirtyJobs, j)
+}
+
 // stop asks for an attempt's end and sends that at once. An attempt that was
 // never sent simply ends.
 func (l *Leader) stop(a *attempt, save bool, why string) {
@@ -680,6 +680,7 @@
 		return
 	}
 	a.halt, a.haltSave, a.haltedAt = true, save, 0
+	a.m.digest = nil
 	if !a.sent {
 		l.detach(a)
 		return
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"container/heap"
 	"math"
 	"sort"
 
@@ -17,25 +18,83 @@
 	n int
 }
 
+// digest is what placement asks of a machine's tasks.
+type digest struct {
+	blocked  bool               // something is there whose size we do not know
+	services int                // tasks of services
+	fetching map[string]float64 // images on their way, without those of stopped tasks
+}
+
+// digested gives the machine's digest, made anew after its tasks have changed.
+func (m *machine) digested() *digest {
+	if m.digest != nil {
+		return m.digest
+	}
+	d := &digest{}
+	for _, a := range m.tasks {
+		if a.job == nil {
+			d.blocked = true
+			continue
+		}
+		if a.job.service {
+			d.services++
+		}
+		if !a.halt && a.state != wire.TaskRunning && !m.has(a.job.spec.Image) {
+			if d.fetching == nil {
+				d.fetching = map[string]float64{}
+			}
+			d.fetching[a.job.spec.Image] = a.job.spec.ImageGB
+		}
+	}
+	m.digest = d
+	return d
+}
+
+// round is one pass of placement over the waiting jobs.
+type round struct {
+	roomy   []*machine           // usable, with room for the smallest that waits
+	claimed map[*machine]float64 // CPUs on their way to somebody through preemption
+	sought  int                  // jobs for which preemption was tried, production apart
+}
+
 // place assigns waiting tasks to machines, in order, and says what was left.
 func (l *Leader) place() []want {
 	l.dirtyPlace = false
 	queue := l.queue()
 	var left []want
-	claimed := map[*machine]float64{} // CPUs on their way to somebody through preemption
+	r := &round{claimed: map[*machine]float64{}}
+	l.findRoom(r, queue)
 	// Room under a team's limit that production waits for. Without this, lower
 	// work would take what it was stopped for, and be stopped again.
 	promised := map[string]Team{}
+	promise := func(j *job, n int) {
+		if j.rank == 0 {
+			p := promised[j.spec.Team]
+			p.CPUs += float64(n) * j.spec.CPUs
+			p.GPUs += float64(n) * j.spec.GPUs
+			promised[j.spec.Team] = p
+		}
+	}
 	for _, j := range queue {
 		n := j.pending()
+		if n == 0 {
+			continue
+		}
 		if j.waitSince == 0 {
 			j.waitSince = l.now.Mono
 		}
+		if len(l.dark) > 0 && j.recovered {
+			j.why = "a record that may be about it cannot be read"
+			continue
+		}
 		budget := l.teamRoom(j, promised[j.spec.Team])
 		if budget < n {
 			l.yieldTeam(j, n)
 		}
 		tries := min(n, budget)
+		if j.overdue && tries > 0 && !j.spec.Gang() {
+			tries = min(tries, max(1, j.spec.Tasks/tuning.BeginPart))
+		}
 		placed := 0
 		if j.spec.Gang() {
 			switch {
@@ -44,48 +103,24 @@
 				continue
 			case tries < n:
 				j.why = "its team is at its limit"
-				if j.rank == 0 {
-					p := promised[j.spec.Team]
-					p.CPUs += float64(n) * j.spec.CPUs
-					p.GPUs += float64(n) * j.spec.GPUs
-					promised[j.spec.Team] = p
-				}
+				promise(j, n)
 				continue
-			case l.placeGang(j, n):
+			case l.placeGang(r, j, n):
 				l.tellPlaced(j, n)
 				j.why = ""
 				continue
 			}
 			tries = n
-		}
-		for placed < tries && !j.spec.Gang() {
-			m := l.choose(j)
-			if m == nil || l.holdForWarm(j, m, claimed) {
-				break
-			}
-			i, ok := j.nextFree()
-			if !ok {
-				break
-			}
-			l.assign(j, i, m)
-			placed++
+		} else if tries > 0 {
+			placed = l.placeTasks(r, j, tries)
 		}
 		l.tellPlaced(j, placed)
 		rest := tries - placed
-		if j.rank == 0 && n > placed {
-			p := promised[j.spec.Team]
-			p.CPUs += float64(n-placed) * j.spec.CPUs
-			p.GPUs += float64(n-placed) * j.spec.GPUs
-			promised[j.spec.Team] = p
-		}
+		promise(j, n-placed)
 		if rest > 0 {
 			j.why = "no machine has room"
-			for k := 0; k < rest; k++ {
-				if !l.preempt(j, claimed, math.Inf(1)) {
-					break
-				}
-			}
-			left = append(left, want{j, rest})
+			l.preempt(r, j, rest, math.Inf(1))
+			left = append(left, want{j, min(n, budget) - placed})
 		} else if n > placed {
 			j.why = "its team is at its limit"
 		} else {
@@ -95,10 +130,143 @@
 	return left
 }
 
+// findRoom gathers the machines that have room for the smallest of the waiting
+// tasks, so that a full cluster costs one look at each machine and not one for
+// each job.
+func (l *Leader) findRoom(r *round, queue []*job) {
+	r.roomy = nil
+	cpus, mem := math.Inf(1), math.Inf(1)
+	for _, j := range queue {
+		cpus, mem = min(cpus, j.spec.CPUs), min(mem, j.spec.MemoryGB)
+	}
+	if len(queue) == 0 {
+		return
+	}
+	for _, m := range l.sorted() {
+		if m.mt != nil && m.cpus+cpus <= m.mt.CPUs+epsilon && m.mem+mem <= m.mt.MemoryGB+epsilon && l.usable(m) && !m.digested().blocked {
+			r.roomy = append(r.roomy, m)
+		}
+	}
+}
+
+// placeTasks places up to n tasks of the job and says how many it did.
+func (l *Leader) placeTasks(r *round, j *job, n int) int {
+	p := l.newPicker(r, j)
+	for placed := 0; placed < n; placed++ {
+		m := p.next()
+		if m == nil || l.holdForWarm(r, j, m, p) {
+			return placed
+		}
+		i, ok := j.nextFree()
+		if !ok {
+			return placed
+		}
+		l.enter(j, i, m)
+		p.took(m)
+		l.line(true, "placed", "task", wire.TaskName(j.id, i), "machine", m.name, "warm", m.has(j.spec.Image))
+	}
+	return n
+}
+
+// picker hands out machines for the tasks of one job, the best first.
+type picker struct {
+	l    *Leader
+	j    *job
+	z    map[string]int
+	same map[*machine]int
+	heap picks
+}
+
+type pick struct {
+	m     *machine
+	score float64
+}
+
+type picks []pick
+
+func (p picks) Len() int { return len(p) }
+func (p picks) Less(a, b int) bool {
+	return p[a].score < p[b].score || p[a].score == p[b].score && p[a].m.name < p[b].m.name
+}
+func (p picks) Swap(a, b int) { p[a], p[b] = p[b], p[a] }
+func (p *picks) Push(x any)   { *p = append(*p, x.(pick)) }
+func (p *picks) Pop() any {
+	x := (*p)[len(*p)-1]
+	*p = (*p)[:len(*p)-1]
+	return x
+}
+
+func (l *Leader) newPicker(r *round, j *job) *picker {
+	p := &picker{l: l, j: j, z: j.zones(), same: j.machines()}
+	for _, m := range r.roomy {
+		if p.open(m) {
+			p.heap = append(p.heap, pick{m, l.score(j, m, p.z, p.same[m])})
+		}
+	}
+	heap.Init(&p.heap)
+	return p
+}
+
+// open reports whether one more task of the job may go to the machine.
+func (p *picker) open(m *machine) bool {
+	j, l := p.j, p.l
+	if m.keptFor != "" && m.keptFor != j.id && l.now.Mono < m.keptTo && j.rank > 0 {
+		return false // room was made here for another job
+	}
+	if !m.fits(j) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(p.z, m.zone) {
+		return false
+	}
+	// Fetches side by side share the machine's rate: one after the other, the
+	// first is there sooner and the last no later.
+	return j.service || m.has(j.spec.Image) || !m.fetchingOther(j.spec.Image)
+}
+
+// next gives the best machine, or nil. Scores only grow as tasks are placed, so
+// one that is found again as low as it was noted is the lowest.
+func (p *picker) next() *machine {
+	for len(p.heap) > 0 {
+		top := &p.heap[0]
+		if !p.open(top.m) {
+			heap.Pop(&p.heap)
+			continue
+		}
+		s := p.l.score(p.j, top.m, p.z, p.same[top.m])
+		if s <= top.score+epsilon {
+			return top.m
+		}
+		top.score = s
+		heap.Fix(&p.heap, 0)
+	}
+	return nil
+}
+
+// took notes that a task went to the machine, which is at the top.
+func (p *picker) took(m *machine) {
+	if p.z != nil {
+		p.z[m.zone]++
+	}
+	p.same[m]++
+	p.heap[0].score = p.l.score(p.j, m, p.z, p.same[m])
+	heap.Fix(&p.heap, 0)
+}
+
+// machines counts the attempts of a service by machine.
+func (j *job) machines() map[*machine]int {
+	same := map[*machine]int{}
+	if j.service {
+		for _, list := range j.active {
+			for _, a := range list {
+				same[a.m]++
+			}
+		}
+	}
+	return same
+}
+
 // holdForWarm reports whether a production service had better wait a moment for
 // room on a machine that has its image than fetch it on m: lower work is stopped
 // there, which takes a few tens of milliseconds where a fetch takes seconds.
-func (l *Leader) holdForWarm(j *job, m *machine, claimed map[*machine]float64) bool {
+func (l *Leader) holdForWarm(r *round, j *job, m *machine, p *picker) bool {
 	if !j.service || j.rank > 0 || m.has(j.spec.Image) || j.spec.ImageGB/max(m.mt.FetchGBs, 0.01) < tuning.WorthWarm {
 		return false
 	}
@@ -107,7 +275,7 @@
 	}
 	// Only where the task would then really go, or the room is made in vain,
 	// again and again.
-	return l.preempt(j, claimed, l.score(j, m, j.zones()))
+	return l.preempt(r, j, 1, l.score(j, m, p.z, p.same[m])) > 0
 }
 
 // tellPlaced logs a job's first placement and the one that leaves nothing
@@ -134,10 +302,11 @@
 }
 
 // placeGang places all waiting members of a gang, or none.
-func (l *Leader) placeGang(j *job, n int) bool {
+func (l *Leader) placeGang(r *round, j *job, n int) bool {
 	var placed []*attempt
+	p := l.newPicker(r, j)
 	for range n {
-		m := l.choose(j)
+		m := p.next()
 		if m == nil {
 			break
 		}
@@ -145,7 +314,10 @@
 		if !ok {
 			break
 		}
-		placed = append(placed, l.enter(j, i, m))
+		a := l.newAttempt(j, i, m)
+		l.attach(a)
+		p.took(m)
+		placed = append(placed, a)
 	}
 	if len(placed) < n {
 		for _, a := range placed {
@@ -155,7 +327,7 @@
 		return false
 	}
 	for _, a := range placed {
-		l.touch(a.m, true)
+		l.record(a)
 	}
 	return true
 }
@@ -196,6 +368,10 @@
 	}
 	l.planDeadlines()
 	for _, j := range out {
+		// What nothing has been begun of for long gets its first tasks, whatever
+		// comes after it: the order by deadlines alone gives up the largest first,
+		// and under lasting overload again and again.
+		j.overdue = !j.service && j.nActive == 0 && j.nDone == 0 && l.now.Mono-j.created > tuning.BeginBy
 		j.slack = math.Inf(1) // without a deadline, after those that have one
 		if j.dueAfter > 0 {
 			j.slack = l.due(j)
@@ -206,6 +382,9 @@
 		if px, py := x.rank == 0, y.rank == 0; px != py {
 			return px
 		}
+		if x.overdue != y.overdue {
+			return x.overdue
+		}
 		// What can still be on time goes before what is late already, even
 		// within a guarantee: of that, the start has been missed too.
 		if cx, cy := x.class(), y.class(); cx != cy {
@@ -300,7 +479,7 @@
 
 // usable reports whether tasks may be placed on the machine at all.
 func (l *Leader) usable(m *machine) bool {
-	return m.phase == up && m.confirmed && !m.failed && m.leaveBy == 0 && m.mt != nil && !m.reading &&
+	return m.phase == up && m.confirmed && !m.failed && m.leaveBy == 0 && m.mt != nil && m.deafSince == 0 &&
 		m.pauseTo <= l.now.Mono && l.now.Mono-m.heardAt < l.cfg.Report*3
 }
 
@@ -310,74 +489,41 @@
 		m.mem+j.spec.MemoryGB <= m.mt.MemoryGB+epsilon
 }
 
-// blocked: something is there whose size we do not know.
-func (m *machine) blocked() bool {
-	for _, a := range m.tasks {
-		if a.job == nil {
-			return true
-		}
-	}
-	return false
-}
-
-// choose finds the best machine for one more task of the job.
-func (l *Leader) choose(j *job) *machine {
-	var best *machine
-	bestScore := math.Inf(1)
-	z := j.zones()
-	for _, m := range l.machines {
-		if m.keptFor != "" && m.keptFor != j.id && l.now.Mono < m.keptTo && j.rank > 0 {
-			continue // room was made here for another job
-		}
-		if !l.usable(m) || !m.fits(j) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.blocked() || !l.recordRoom(m) {
-			continue
-		}
-		if !j.service && !m.has(j.spec.Image) && m.fetchingOther(j.spec.Image) {
-			// Fetches side by side share the machine's rate: one after the
-			// other, the first is there sooner and the last no later.
-			continue
-		}
-		s := l.score(j, m, z)
-		if s < bestScore || s == bestScore && m.name < best.name {
-			best, bestScore = m, s
-		}
-	}
-	return best
+// hasRoom reports whether one more task of the job could go to some machine.
+func (l *Leader) hasRoom(j *job) bool {
+	r := &round{}
+	l.findRoom(r, []*job{j})
+	return l.newPicker(r, j).next() != nil
 }
 
 // fetchingOther reports whether the machine fetches an image other than this.
 func (m *machine) fetchingOther(name string) bool {
-	for _, a := range m.tasks {
-		if a.job != nil && !a.halt && a.state != wire.TaskRunning && a.job.spec.Image != name && !m.has(a.job.spec.Image) {
-			return true
-		}
+	d := m.digested()
+	if _, same := d.fetching[name]; same {
+		return len(d.fetching) > 1
 	}
-	return false
+	return len(d.fetching) > 0
 }
 
-// score is how many seconds, or their worth, a task loses on the machine.
-func (l *Leader) score(j *job, m *machine, z map[string]int) float64 {
+// score is how many seconds, or their worth, a task loses on the machine. z
+// counts the job's tasks by zone, same those on the machine.
+func (l *Leader) score(j *job, m *machine, z map[string]int, same int) float64 {
 	s := 0.0
-	if !m.has(j.spec.Image) && j.spec.ImageGB > 0 {
-		rate := max(m.mt.FetchGBs, 0.01)
-		fetch := j.spec.ImageGB / rate
-		others := map[string]bool{}
-		for _, a := range m.tasks {
-			if a.job == nil || a.state == wire.TaskRunning || a.halt {
-				continue
-			}
-			if a.job.spec.Image == j.spec.Image && !j.service {
+	d := m.digested()
+	if j.spec.ImageGB > 0 && !m.has(j.spec.Image) {
+		fetch := j.spec.ImageGB / max(m.mt.FetchGBs, 0.01)
+		others := len(d.fetching)
+		if _, shared := d.fetching[j.spec.Image]; shared {
+			others--
+			if !j.service {
 				// Shared with a fetch under way. Not for services: where all
 				// that fetch gather on one machine, nothing else is warm when
 				// that one is lost.
 				fetch /= 2
-				break
-			}
-			if !m.has(a.job.spec.Image) {
-				others[a.job.spec.Image] = true
+				others = 0
 			}
 		}
-		s += fetch * float64(1+len(others))
+		s += fetch * float64(1+others)
 	}
 	if m.suspect > l.now.Mono {
 		s += 300
@@ -385,26 +531,17 @@
 	if j.failedOn[m.name] {
 		s += 60
 	}
-	same, services := 0, 0
-	for _, a := range m.tasks {
-		if a.job == j {
-			same++
-		}
-		if a.job != nil && a.job.service {
-			services++
-		}
-	}
 	if j.service {
 		// Replicas apart from each other, and services apart from services,
 		// so that one machine's end costs little.
 		s += 2*float64(same) + 0.3*float64(z[m.zone])
 		if l.cfg.Thrifty {
 			// Here services share machines, or each blocks one for large tasks.
-			if services == 0 {
+			if d.services == 0 {
 				s++
 			}
 		} else {
-			s += 0.3 * float64(services)
+			s += 0.3 * float64(d.services)
 		}
 		if m.spot {
 			s += 5
@@ -423,25 +560,21 @@
 	return s
 }
 
-// assign places a task. Nothing is sent before the machine's record has it.
-func (l *Leader) assign(j *job, index int, m *machine) {
-	l.enter(j, index, m)
-	l.touch(m, true)
-	l.line(true, "placed", "task", wire.TaskName(j.id, index), "machine", m.name, "warm", m.has(j.spec.Image))
-}
-
+// enter places a task. Nothing is sent before it is recorded.
 func (l *Leader) enter(j *job, index int, m *machine) *attempt {
-	l.nextTry++
-	a := &attempt{
-		ref: taskRef{j.id, index}, job: j, m: m,
-		// Terms only grow, so an attempt's number is above all earlier ones.
-		number:   l.term<<tuning.FenceBits | l.nextTry,
-		placedAt: l.now.Mono,
-	}
+	a := l.newAttempt(j, index, m)
 	l.attach(a)
+	l.record(a)
 	return a
 }
 
+// newAttempt makes an attempt under a number that was never used: terms only
+// grow, so it is above all earlier ones.
+func (l *Leader) newAttempt(j *job, index int, m *machine) *attempt {
+	l.nextTry++
+	return &attempt{ref: taskRef{j.id, index}, job: j, m: m, number: l.term<<tuning.FenceBits | l.nextTry, placedAt: l.now.Mono}
+}
+
 // yieldTeam makes room under its team's limit for a production job, by stopping
 // lower work of the same team: on machines where the job could then start at
 // once, and there what was started last.
@@ -490,7 +623,7 @@
 		cpus -= a.job.spec.CPUs
 		gpus -= a.job.spec.GPUs
 		l.count.Preempted++
-		l.line(false, "preempted under its team's limit", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", a.m.name, "for", j.id)
+		l.line(true, "preempted under its team's limit", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", a.m.name, "for", j.id)
 		l.stop(a, false, "preempted for "+j.id)
 	}
 }
@@ -512,35 +645,58 @@
 	return !v.within && (u.CPUs-v.spec.CPUs >= guarantee.CPUs-epsilon || v.spec.GPUs > 0 && u.GPUs-v.spec.GPUs >= guarantee.GPUs-epsilon)
 }
 
-// preempt makes room for one task of the job, where it may: work of lower
-// priority, or what another team has beyond its guarantee. What was started
-// last is stopped first, since it loses least. With a finite below, only machines
-// that have the image and score better than that are considered.
-func (l *Leader) preempt(j *job, claimed map[*machine]float64, below float64) bool {
+// preempt makes room for up to n tasks of the job, where it may, one a machine,
+// and says for how many it did: by stopping work of lower priority, or what another
+// team has beyond its guarantee. What was started last is stopped first, since it
+// loses least. With a finite below, only machines that have the image and score
+// better than that are considered.
+func (l *Leader) preempt(r *round, j *job, n int, below float64) int {
 	if !l.cfg.Policy.Preempt || !j.within && j.rank > 0 {
-		return false
+		return 0
+	}
+	if j.rank > 0 {
+		if l.now.Mono-j.created < l.cfg.GuaranteeWithin/2 {
+			return 0 // room may come by itself, and what is stopped is lost
+		}
+		if r.sought >= tuning.PreemptJobs || j.preemptAt > 0 && l.now.Mono-j.preemptAt < tuning.PreemptGap {
+			return 0 // a look at every task of the cluster is not cheap
+		}
+		r.sought++
+		j.preemptAt = l.now.Mono
 	}
-	if j.rank > 0 && l.now.Mono-j.created < l.cfg.GuaranteeWithin/2 {
-		return false // room may come by itself, and what is stopped is lost
+	z, same := j.zones(), j.machines()
+	type option struct {
+		m       *machine
+		victims []*attempt
+		cost    float64
+	}
+	var options []option
+	made := 0
+	claim := func(m *machine) {
+		r.claimed[m] += j.spec.CPUs
+		m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
+		if z != nil {
+			z[m.zone]++
+		}
+		made++
 	}
-	z := j.zones()
-	var best *machine
-	var bestVictims []*attempt
-	bestCost := math.Inf(1)
 	for _, m := range l.sorted() {
-		if !l.usable(m) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.blocked() || m.suspect > l.now.Mono {
+		if made == n {
+			return made
+		}
+		if m.mt == nil || j.spec.CPUs > m.mt.CPUs || j.spec.GPUs > m.mt.GPUs || j.spec.MemoryGB > m.mt.MemoryGB {
 			continue
 		}
-		if !math.IsInf(below, 1) && (!m.has(j.spec.Image) || l.score(j, m, z) >= below) {
+		if !math.IsInf(below, 1) && (!m.has(j.spec.Image) || l.score(j, m, z, same[m]) >= below) {
 			continue
 		}
-		if j.spec.CPUs > m.mt.CPUs || j.spec.GPUs > m.mt.GPUs || j.spec.MemoryGB > m.mt.MemoryGB {
+		if !l.usable(m) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.digested().blocked || m.suspect > l.now.Mono {
 			continue
 		}
 		// What is being stopped already will make room too, once.
-		cpus, gpus, mem := m.cpus+claimed[m], m.gpus, m.mem+claimed[m]*j.spec.MemoryGB/max(j.spec.CPUs, epsilon)
+		cpus, gpus, mem := m.cpus+r.claimed[m], m.gpus, m.mem+r.claimed[m]*j.spec.MemoryGB/max(j.spec.CPUs, epsilon)
 		var victims []*attempt
-		for _, a := range m.list() {
+		for _, a := range m.tasks {
 			if a.halt && a.job != nil {
 				cpus -= a.job.spec.CPUs
 				gpus -= a.job.spec.GPUs
@@ -552,19 +708,27 @@
 		fits := func() bool {
 			return cpus+j.spec.CPUs <= m.mt.CPUs+epsilon && gpus+j.spec.GPUs <= m.mt.GPUs+epsilon && mem+j.spec.MemoryGB <= m.mt.MemoryGB+epsilon
 		}
-		if fits() {
-			claimed[m] += j.spec.CPUs
-			m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
-			return true // room is on its way
+		for made < n && fits() && j.zoneOpen(z, m.zone) {
+			claim(m) // room is on its way
+			cpus += j.spec.CPUs
+			gpus += j.spec.GPUs
+			mem += j.spec.MemoryGB
 		}
-		sort.SliceStable(victims, func(a, b int) bool {
-			if victims[a].job.rank != victims[b].job.rank {
-				return victims[a].job.rank > victims[b].job.rank
+		if len(victims) == 0 {
+			continue
+		}
+		sort.Slice(victims, func(a, b int) bool {
+			x, y := victims[a], victims[b]
+			if x.job.rank != y.job.rank {
+				return x.job.rank > y.job.rank
 			}
-			if victims[a].job.hopeful != victims[b].job.hopeful {
-				return victims[b].job.hopeful // late already: the delay costs nothing
+			if x.job.hopeful != y.job.hopeful {
+				return y.job.hopeful // late already: the delay costs nothing
 			}
-			return victims[a].placedAt > victims[b].placedAt
+			if x.placedAt != y.placedAt {
+				return x.placedAt > y.placedAt
+			}
+			return x.number > y.number
 		})
 		cost := 0.0
 		if !m.has(j.spec.Image) {
@@ -575,9 +739,9 @@
 			}
 			cost += weight * j.spec.ImageGB / max(m.mt.FetchGBs, 0.01)
 		}
-		n := 0
-		for n < len(victims) && !fits() {
-			v := victims[n]
+		k := 0
+		for k < len(victims) && !fits() {
+			v := victims[k]
 			cpus -= v.job.spec.CPUs
 			gpus -= v.job.spec.GPUs
 			mem -= v.job.spec.MemoryGB
@@ -586,22 +750,27 @@
 				lost /= 2
 			}
 			cost += lost
-			n++
+			k++
 		}
-		if fits() && cost < bestCost {
-			best, bestVictims, bestCost = m, victims[:n], cost
+		if fits() && k > 0 {
+			options = append(options, option{m, victims[:k], cost})
 		}
 	}
-	if best == nil {
-		return false
-	}
-	claimed[best] += j.spec.CPUs
-	best.keptFor, best.keptTo = j.id, l.now.Mono+tuning.KeepRoom
-	for _, v := range bestVictims {
-		l.count.Preempted++
-		save := v.job.spec.CheckpointS > 0 && j.rank > 0
-		l.line(false, "preempted", "task", wire.TaskName(v.ref.job, v.ref.index), "machine", best.name, "for", j.id)
-		l.stop(v, save, "preempted for "+j.id)
+	sort.SliceStable(options, func(a, b int) bool { return options[a].cost < options[b].cost })
+	for _, o := range options {
+		if made == n {
+			break
+		}
+		if !j.zoneOpen(z, o.m.zone) {
+			continue
+		}
+		claim(o.m)
+		for _, v := range o.victims {
+			l.count.Preempted++
+			save := v.job.spec.CheckpointS > 0 && j.rank > 0
+			l.line(true, "preempted", "task", wire.TaskName(v.ref.job, v.ref.index), "machine", o.m.name, "for", j.id)
+			l.stop(v, save, "preempted for "+j.id)
+		}
 	}
-	return true
+	return made
 }
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -16,7 +16,6 @@
 		l.out.Resign = "a worker has seen a higher token"
 		return reply, false
 	}
-	l.heardAny = now.Mono
 	if l.gone[r.Machine] {
 		// A late report of a machine that was given back.
 		return wire.CheckinReply{Token: l.term << tuning.FenceBits}, true
@@ -27,8 +26,13 @@
 		// be kept, so that it goes on if the release fails.
 		return wire.CheckinReply{Token: l.token(m)}, true
 	}
+	// A copy of an earlier report, however late it comes, is no sign of life and
+	// changes nothing.
 	fresh := r.Newer(m.session, m.tick)
 	if fresh {
+		l.hearing(m, r)
+		m.answeredAt = now.Mono
+		l.heardAny = now.Mono
 		m.heardAt = now.Mono
 		l.takeReport(m, r, true)
 	}
@@ -43,6 +47,25 @@
 	return wire.CheckinReply{Token: l.token(m), Commands: cmds}, true
 }
 
+// hearing watches whether our answers reach the worker. A new session although we
+// answered the one before within its lease says that they did not. Such a machine
+// gets no new work, and is given back unless a direct call shows that it hears us.
+func (l *Leader) hearing(m *machine, r *wire.Report) {
+	switch {
+	case m.session > 0 && r.Session > m.session && m.answeredAt > 0 && l.now.Mono-m.answeredAt < l.cfg.Lease*3/4 && l.now.Mono-l.startedAt > l.cfg.Lease:
+		l.deaf(m, "its lease ran out although it was answered")
+	case Term(r.Token) == l.term && r.Token > m.seenToken:
+		m.deafSince = 0 // it has heard a token that is new since its last report
+	}
+}
+
+func (l *Leader) deaf(m *machine, why string) {
+	if m.deafSince == 0 {
+		m.deafSince = l.now.Mono
+		l.line(false, "machine seems not to hear us", "machine", m.name, "why", why, "tasks", len(m.tasks))
+	}
+}
+
 // waiting reports whether something on the machine waits for proof.
 func (l *Leader) waiting(m *machine) bool {
 	for _, a := range m.tasks {
@@ -157,16 +180,19 @@
 		l.progress(a, t)
 	}
 	m.exited = still
-	for _, a := range m.list() {
-		if listed[a.ref] {
-			continue
-		}
-		if !l.provenAbsent(a, r, checkin) {
-			continue
+	var missing []*attempt
+	for _, a := range m.tasks {
+		if !listed[a.ref] && l.provenAbsent(a, r, checkin) {
+			missing = append(missing, a)
 		}
+	}
+	sortAttempts(missing)
+	for _, a := range missing {
 		l.vanished(a)
 	}
-	if !m.confirmed && (under || len(m.tasks) == 0 && r.Token == 0) {
+	// A worker that has seen no token is new, if we rented its machine ourselves:
+	// of another it may be a late copy of its first report.
+	if !m.confirmed && (under || len(m.tasks) == 0 && r.Token == 0 && m.ours) {
 		m.confirmed = true
 		l.dirtyPlace = true
 	}
@@ -191,7 +217,7 @@
 		a.job = j
 	}
 	l.attach(a)
-	l.touch(m, false)
+	l.record(a)
 	why := ""
 	switch {
 	case a.job == nil:
@@ -228,6 +254,7 @@
 	if a.state == t.State {
 		return
 	}
+	a.m.digest = nil
 	l.line(true, "task state", "task", t.Task, "machine", a.m.name, "state", t.State)
 	if a.job != nil {
 		if a.state == wire.TaskRunning {
@@ -245,6 +272,7 @@
 
 // fetched notes that the machine has an image, as the most recently used.
 func (m *machine) fetched(name string, gb float64) {
+	m.digest = nil
 	for i, im := range m.images {
 		if im.name == name {
 			m.images = append(append(m.images[:i:i], m.images[i+1:]...), image{name, gb})
@@ -351,6 +379,7 @@
 		d = min(d, l.cfg.Policy.ErrorBackoff<<(j.failures-1))
 	}
 	j.retryAt = l.now.Mono + d
+	l.pausing[j] = true
 }
 
 // vanished deals with an attempt that is proven not to be on its machine.
@@ -386,9 +415,7 @@
 	j.nDone++
 	l.line(true, "task done", "task", wire.TaskName(j.id, index))
 	l.count.Finished++
-	if j.dirtyAt == 0 {
-		j.dirtyAt = l.now.Mono
-	}
+	l.touch(j)
 	l.dirtyPlace = true
 	for _, a := range append([]*attempt(nil), j.active[index]...) {
 		l.stop(a, false, "already done")
@@ -412,7 +439,7 @@
 		save := j.spec.CheckpointS > 0 && j.spec.SaveS < left-1
 		if a.state == wire.TaskRunning && !j.service && !save {
 			rest := j.duration() - (l.now.Mono - a.runningAt).Seconds()
-			if left > tuning.EvacuateBy && (rest <= left || l.choose(j) == nil) {
+			if left > tuning.EvacuateBy && (rest <= left || !l.hasRoomLately(j)) {
 				continue
 			}
 		}
@@ -420,6 +447,14 @@
 	}
 }
 
+// hasRoomLately remembers hasRoom for a moment: many tasks ask at once.
+func (l *Leader) hasRoomLately(j *job) bool {
+	if j.roomAt == 0 || l.now.Mono-j.roomAt > tuning.RoomLately {
+		j.roomAt, j.room = l.now.Mono, l.hasRoom(j)
+	}
+	return j.room
+}
+
 // list gives the machine's attempts in a fixed order.
 func (m *machine) list() []*attempt {
 	out := make([]*attempt, 0, len(m.tasks))
@@ -480,11 +515,15 @@
 
 // halts gathers the stops that are due.
 func (l *Leader) halts(m *machine) []wire.Command {
-	var cmds []wire.Command
-	for _, a := range m.list() {
-		if !a.halt || !a.sent || a.haltedAt > 0 && l.now.Mono-a.haltedAt < tuning.HaltRepeat {
-			continue
+	var due []*attempt
+	for _, a := range m.tasks {
+		if a.halt && a.sent && (a.haltedAt == 0 || l.now.Mono-a.haltedAt >= tuning.HaltRepeat) {
+			due = append(due, a)
 		}
+	}
+	sortAttempts(due)
+	var cmds []wire.Command
+	for _, a := range due {
 		a.haltedAt = l.now.Mono
 		leeway := 0.0
 		if a.haltSave && a.job != nil {
@@ -501,7 +540,7 @@
 		return nil
 	}
 	var out []*attempt
-	for _, a := range m.list() {
+	for _, a := range m.tasks {
 		if !a.recorded || a.halt || a.seen || a.calling || a.nextProbe > l.now.Mono || a.job == nil || a.job.cancelled {
 			continue
 		}
@@ -516,6 +555,7 @@
 		}
 		out = append(out, a)
 	}
+	sortAttempts(out)
 	return out
 }
 
@@ -586,13 +626,17 @@
 	if m.phase != up || m.addr == "" || m.calling || m.pokedAt > 0 && l.now.Mono-m.pokedAt < tuning.PokePause {
 		return
 	}
+	if l.polling >= tuning.QuestionsOut || l.pushDue[m.name] {
+		return // the next tick asks on; what is to be pushed asks as well
+	}
 	m.pokedAt = l.now.Mono
+	l.polling++
 	l.call(m, []wire.Command{}, nil)
 }
 
 func (l *Leader) call(m *machine, cmds []wire.Command, starts []*attempt) {
 	l.nextID++
-	l.calls[l.nextID] = &callState{m: m, fence: m.fence, runs: starts}
+	l.calls[l.nextID] = &callState{m: m, fence: m.fence, runs: starts, poll: len(cmds) == 0}
 	m.calling = true
 	l.out.Direct = append(l.out.Direct, DirectCall{
 		ID: l.nextID, Machine: m.name, Addr: m.addr,
@@ -620,6 +664,9 @@
 	delete(l.calls, id)
 	m := cs.m
 	m.calling = false
+	if cs.poll {
+		l.polling--
+	}
 	for _, a := range cs.runs {
 		a.calling = false
 	}
@@ -660,6 +707,7 @@
 	if r != nil && m.phase == up {
 		l.heardAny = now.Mono
 		m.heardAt = now.Mono
+		m.deafSince = 0 // it answered what we sent just now
 		if r.Newer(m.session, m.tick) {
 			l.takeReport(m, r, false)
 		}
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"syscall"
 	"time"
 
@@ -181,10 +182,16 @@
 			return nil
 		default:
 		}
-		bits, _, err1 := n.state.All(ctx, store.First, store.BitsPrefix)
-		machines, _, err2 := n.state.All(ctx, store.First, store.MachinePrefix)
-		jobs, epoch, err3 := n.state.All(ctx, store.First, store.JobPrefix)
-		err := errors.Join(err1, err2, err3)
+		var bits, records, earlier, jobs []wire.Item
+		var epoch uint64
+		var errs [4]error
+		var wg sync.WaitGroup
+		wg.Go(func() { bits, _, errs[0] = n.state.All(ctx, store.First, store.BitsPrefix) })
+		wg.Go(func() { records, _, errs[1] = n.state.All(ctx, store.First, store.BatchPrefix) })
+		wg.Go(func() { earlier, _, errs[2] = n.state.All(ctx, store.First, store.MachinePrefix) })
+		wg.Go(func() { jobs, epoch, errs[3] = n.state.All(ctx, store.First, store.JobPrefix) })
+		wg.Wait()
+		err := errors.Join(errs[:]...)
 		if err != nil {
 			n.trouble("recovery", err)
 			if !sleep(ctx, tuning.StateRetry) {
@@ -205,7 +212,7 @@
 			if epoch >= n.replica.Epoch {
 				n.reportBad(n.replica.Reset(jobs, epoch))
 			}
-			leader = core.NewLeader(n.now(), n.coreSettings(), term, n.replica, bits, machines, n.types)
+			leader = core.NewLeader(n.now(), n.coreSettings(), term, n.replica, bits, append(records, earlier...), n.types)
 			leader.AckLatency = func(d time.Duration) { _ = n.ack.RecordValue(min(max(1, d.Milliseconds()), 600_000)) }
 			n.leader, n.lost = leader, lost
 		})
@@ -225,7 +232,8 @@
 		Teams:  map[string]core.Team{},
 		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
-		Aims: map[string]core.Aim{}, Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(), Policy: n.policy,
+		Aims: map[string]core.Aim{}, Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(),
+		ListLag: config.Seconds(d.Cloud.ListLagS), Policy: n.policy,
 	}
 	for _, o := range d.Objectives {
 		aim := s.Aims[o.Class]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,13 +175,45 @@
 		}
 		n.lag.Store(int64(time.Since(begun) - tuning.TickEvery))
 		n.do(func() {
-			if n.leader != nil {
-				n.leader.Tick(n.now())
+			if n.leader == nil {
+				return
 			}
+			if n.cutOff() {
+				// Whoever leads by now cannot tell us, and our workers would
+				// stay with us. In an outage that every node has, their leases
+				// are kept as followers keep them.
+				n.stepDown(n.leader, "cut off from the state service and all peers")
+				n.barred = time.Time{}
+				return
+			}
+			n.leader.Tick(n.now())
 		})
 	}
 }
 
+// cutOff reports whether this node has for a while had neither the state service
+// nor any peer. Called with the lock held.
+func (n *Node) cutOff() bool {
+	if len(n.peers) == 0 || n.state.Without() < tuning.CutAfter {
+		return false
+	}
+	for _, p := range n.peers {
+		if time.Since(p.heard) < tuning.CutAfter {
+			return false
+		}
+	}
+	return true
+}
+
+// Healthy reports whether users had better come here than elsewhere: unless cut
+// off, this node can answer them or pass them to a peer that can. A node whose
+// trouble all share stays healthy, since its return would be held up.
+func (n *Node) Healthy() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.cutOff()
+}
+
 // carryOut starts the I/O that the core asked for.
 func (n *Node) carryOut(l *core.Leader, e core.Effects) {
 	for _, line := range e.Log {
@@ -197,9 +229,6 @@
 	for _, c := range e.Direct {
 		go n.direct(l, c)
 	}
-	for _, name := range e.Reads {
-		go n.readRecord(l, name)
-	}
 	for _, r := range e.Rent {
 		go n.rent(l, r.Request)
 	}
@@ -256,14 +285,6 @@
 	n.withLeader(l, func(now core.Now) { l.CallDone(now, c.ID, res, rep) })
 }
 
-func (n *Node) readRecord(l *core.Leader, name string) {
-	it, err := n.state.Get(context.Background(), store.First, store.MachineKey(name))
-	if err != nil {
-		time.Sleep(tuning.StateRetry)
-	}
-	n.withLeader(l, func(now core.Now) { l.RecordRead(now, name, it.Stamp, err == nil) })
-}
-
 func (n *Node) rent(l *core.Leader, r wire.RentRequest) {
 	names, err := n.cloud.Rent(context.Background(), r)
 	res := core.RentUnknown
@@ -329,7 +350,10 @@
 			n.trouble("machine list", err)
 			continue
 		}
-		wait = tuning.ListEvery
+		// A long list takes several calls; three quarters of the rate are kept
+		// for rentals and releases.
+		pages := float64(1 + len(list)/tuning.ListPage)
+		wait = max(tuning.ListEvery, config.Seconds(pages/(n.cfg.Deployment.Cloud.RPS*tuning.ListShare)))
 		n.withLeader(l, func(now core.Now) { l.Listed(now, list) })
 	}
 }
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/yarrowgap/yarrowgap/internal/config"
 	"github.com/yarrowgap/yarrowgap/internal/core"
 	"github.com/yarrowgap/yarrowgap/internal/mesh"
 	"github.com/yarrowgap/yarrowgap/internal/store"
@@ -68,10 +69,16 @@
 		n.syncMu.Unlock()
 		c.err = n.syncOnce()
 		close(c.done)
-		time.Sleep(tuning.SyncGap)
+		time.Sleep(n.syncGap())
 	}
 }
 
+// syncGap spaces the reads so that all nodes together stay within their share of
+// the state service's rate.
+func (n *Node) syncGap() time.Duration {
+	return max(tuning.SyncGap, config.Seconds(float64(1+len(n.peers))/(n.cfg.Deployment.State.RPS*tuning.SyncShare)))
+}
+
 func (n *Node) syncOnce() error {
 	ctx := context.Background()
 	n.mu.Lock()
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -61,7 +61,12 @@
 			if len(n.kept) > 10_000 {
 				clear(n.kept) // never in practice: one entry a machine of a cut
 			}
+			// For a node that is cut off the time runs from when it was last in
+			// touch: a job may have been cancelled since.
 			k = &kept{since: now}
+			if n.cutOff() {
+				k.since = now.Add(-n.state.Without())
+			}
 			n.kept[r.Machine] = k
 		}
 		if now.Sub(k.since) < n.KeepaliveBound() {
--- a/internal/rpc/rpc.go
+++ b/internal/rpc/rpc.go
@@ -22,8 +22,9 @@
 }
 
 // New makes a client with at most conns connections per host that reads at
-// most limit bytes of an answer.
-func New(conns int, dialTimeout time.Duration, limit int64) *Client {
+// most limit bytes of an answer. Of connections without a call, at most idle are
+// kept, to all hosts together.
+func New(conns, idle int, dialTimeout time.Duration, limit int64) *Client {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
 	return &Client{
 		limit: limit,
@@ -32,7 +33,7 @@
 				DialContext:           d.DialContext,
 				MaxConnsPerHost:       conns,
 				MaxIdleConnsPerHost:   conns,
-				MaxIdleConns:          0,
+				MaxIdleConns:          idle,
 				IdleConnTimeout:       20 * time.Second,
 				DisableCompression:    true,
 				ResponseHeaderTimeout: 0,
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/rpc"
@@ -55,16 +56,30 @@
 	level float64 // requests that may be sent now
 	at    time.Time
 	rate  float64
+
+	served, failed atomic.Int64 // when the service last answered, and last did not, in Unix nanoseconds
 }
 
 // New makes a client for the service at addr; rps is the request rate that
 // this node allows itself.
 func New(addr string, rps float64) *Client {
-	return &Client{
+	c := &Client{
 		base:  "http://" + addr,
-		rpc:   rpc.New(tuning.StateConns, tuning.StateTimeout, 8<<20),
+		rpc:   rpc.New(tuning.StateConns, tuning.StateConns, tuning.StateTimeout, 8<<20),
 		level: rps, rate: rps, at: time.Now(),
 	}
+	c.served.Store(time.Now().UnixNano())
+	return c
+}
+
+// Without says for how long the service has not served this node; 0 if it has
+// since it last did not.
+func (c *Client) Without() time.Duration {
+	served, failed := c.served.Load(), c.failed.Load()
+	if failed <= served {
+		return 0
+	}
+	return time.Duration(time.Now().UnixNano() - served)
 }
 
 // take asks the node's own budget for one request. The first rank always gets
@@ -91,11 +106,15 @@
 	defer cancel()
 	code, err := c.rpc.Call(ctx, method, c.base+path, in, out)
 	if err != nil {
+		c.failed.Store(time.Now().UnixNano())
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
-	switch code {
-	case http.StatusServiceUnavailable:
+	if code == http.StatusServiceUnavailable {
+		c.failed.Store(time.Now().UnixNano())
 		return code, ErrRefused
+	}
+	c.served.Store(time.Now().UnixNano())
+	switch code {
 	case http.StatusTooManyRequests:
 		return code, ErrLimited
 	}
--- a/internal/store/records.go
+++ b/internal/store/records.go
@@ -17,7 +17,8 @@
 	JobPrefix     = "job/live/"
 	EndedPrefix   = "job/ended/"
 	BitsPrefix    = "bits/"
-	MachinePrefix = "machine/"
+	BatchPrefix   = "assigned/"
+	MachinePrefix = "machine/" // an earlier layout: read, never written
 	LeaderKey     = "lead/leader"
 	LeaderPrefix  = "lead/"
 	TypesPrefix   = "type/" // a key each: together they may not fit one value
@@ -27,6 +28,7 @@
 func JobKey(id string) string             { return JobPrefix + id }
 func EndedKey(id string) string           { return EndedPrefix + id }
 func MachineKey(name string) string       { return MachinePrefix + name }
+func BatchKey(term, n uint64) string      { return fmt.Sprintf("%s%d-%d", BatchPrefix, term, n) }
 func BitsKey(id string, chunk int) string { return fmt.Sprintf("%s%s/%d", BitsPrefix, id, chunk) }
 
 // JobRecord is a live job: what was submitted and how far it is.
@@ -57,7 +59,58 @@
 	Attempt uint64 `cbor:"a" json:"a"`
 }
 
-// MachineRecord is a machine with all that it may have been told to start.
+// BatchRecord holds attempts that were assigned together, with the machines that
+// have them. It is written once and never changed; when nothing of it is left, or
+// what is left has been written again elsewhere, it is deleted. One value for many
+// machines, and nothing of it written twice: that is what the write rate allows.
+type BatchRecord struct {
+	Base     uint64         `cbor:"base" json:"base"` // the lowest attempt
+	Types    []string       `cbor:"types" json:"types"`
+	Zones    []string       `cbor:"zones" json:"zones"`
+	Jobs     []string       `cbor:"jobs" json:"jobs"`
+	Images   []string       `cbor:"images,omitempty" json:"images,omitempty"`
+	Machines []BatchMachine `cbor:"machines" json:"machines"`
+}
+
+// BatchMachine is a machine in a batch. Type, zone, images and jobs are places
+// in the batch's lists.
+type BatchMachine struct {
+	Name    string `cbor:"n" json:"n"`
+	Type    int    `cbor:"t" json:"t"`
+	Zone    int    `cbor:"z" json:"z"`
+	Spot    bool   `cbor:"s,omitempty" json:"s,omitempty"`
+	Address string `cbor:"a" json:"a"`
+	Images  []int  `cbor:"i,omitempty" json:"i,omitempty"`
+	// Runs are job, first task, number of tasks, and the first task's attempt
+	// above Base; the next task has the next attempt, and so on.
+	Runs [][4]uint64 `cbor:"r" json:"r"`
+}
+
+// DecodeBatch reads a batch and checks what recovery relies on. A batch that
+// fails is not to be taken for an empty one.
+func DecodeBatch(v wire.Raw) (*BatchRecord, error) {
+	b := &BatchRecord{}
+	if err := wire.Unmarshal(v, b); err != nil {
+		return nil, err
+	}
+	for i := range b.Machines {
+		m := &b.Machines[i]
+		ok := m.Name != "" && m.Type >= 0 && m.Type < len(b.Types) && m.Zone >= 0 && m.Zone < len(b.Zones) && len(m.Runs) > 0
+		for _, im := range m.Images {
+			ok = ok && im >= 0 && im < len(b.Images)
+		}
+		for _, r := range m.Runs {
+			ok = ok && r[0] < uint64(len(b.Jobs)) && r[1] < wire.MaxTasks && r[2] > 0 && r[2] <= wire.MaxTasks-r[1]
+		}
+		if !ok {
+			return nil, fmt.Errorf("machine %q: inconsistent", m.Name)
+		}
+	}
+	return b, nil
+}
+
+// MachineRecord is a machine with all that it may have been told to start, in
+// the layout before batches.
 type MachineRecord struct {
 	Type    string                `cbor:"type" json:"type"`
 	Zone    string                `cbor:"zone" json:"zone"`
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -38,10 +38,12 @@
 	// WatchGap is the least time between two watches, so that a busy store is
 	// read in batches.
 	WatchGap = 40 * time.Millisecond
-	// SyncGap is the pause between two reads of changes for polls; whoever
-	// comes meanwhile shares the next. It bounds a node at 25 such reads a
-	// second and delays a poll by half of it on average.
-	SyncGap = 40 * time.Millisecond
+	// SyncGap is the least pause between two reads of changes for polls; whoever
+	// comes meanwhile shares the next, and waits half of it on average. SyncShare
+	// is the share of the deployment's request rate that these reads take at the
+	// most at all nodes together: polls may wait, the leader's writes may not.
+	SyncGap   = 40 * time.Millisecond
+	SyncShare = 0.35
 	// FollowEvery is how often a follower reads changes without being asked,
 	// so that it never falls behind the 10,000 that the service keeps.
 	FollowEvery = 5 * time.Second
@@ -70,17 +72,31 @@
 	// BitmapTasks is how many tasks' done bits one value holds: base64 of 8192
 	// bits takes 1.4 KB, which fits the smallest value limit with the job.
 	BitmapTasks = 8192
-	// RecordTaskBytes is what one assigned task takes in a machine's record at
-	// the most, in JSON.
-	RecordTaskBytes = 24
-	// RecordJobBytes is what a job takes in a machine's record, in JSON.
-	RecordJobBytes = 40
+	// TxnBytes is up to where a transaction of the leader is filled, and
+	// BatchBytes the most that one batch of assigned attempts takes, in JSON: both
+	// together stay under the service's 64 KiB.
+	TxnBytes   = 36 << 10
+	BatchBytes = 24 << 10
+	// BatchShare is the share of the deployment's change rate at which batches
+	// are written at the most; each is deleted once too. What is placed between
+	// two of them shares the next.
+	BatchShare = 0.3
+	// ProgressShare is the same for the done tasks of unfinished jobs, and
+	// WriteReserve how much of a second's changes these leave for starts.
+	ProgressShare = 0.25
+	WriteReserve  = 0.25
+	// BatchesKept is how many batches there may be before what is left of old
+	// ones is written again; FoldAttempts bounds how much at a time.
+	BatchesKept  = 32
+	FoldAttempts = 100
+	// ImagesRecorded is how many of a machine's images are recorded with it.
+	ImagesRecorded = 6
 	// DoneFlush is how long done tasks of an unfinished job may wait for their
 	// write, to share one. A crash in between costs nothing: workers list done
 	// tasks until they are told to forget them.
 	DoneFlush = 1200 * time.Millisecond
-	// RecordFlush is how long a removed assignment may stay in a machine's
-	// record. A stale one only makes recovery wait for that machine's report.
+	// RecordFlush is how old a batch has to be before it is written again without
+	// what is over. That only spares a new leader waiting for a report.
 	RecordFlush = 4 * time.Second
 )
 
@@ -134,6 +150,18 @@
 	// estimate. The first to complete are the shortest, so a few are needed.
 	RunsToTrust = 5
 	HopeFactor  = 1.2
+	// BeginBy is how long an array may wait before it gets its first tasks ahead
+	// of others, and BeginPart which part of it these are at the most: a tenth.
+	// Its users are promised that the largest begin within four minutes.
+	BeginBy   = 90 * time.Second
+	BeginPart = 10
+	// PreemptJobs is for how many waiting jobs a round of placement looks for
+	// work to stop, production apart, and PreemptGap how often for one job: each
+	// look goes over every task.
+	PreemptJobs = 4
+	PreemptGap  = 200 * time.Millisecond
+	// RoomLately is how long it is remembered whether a job's task finds room.
+	RoomLately = time.Second
 	// FailuresKept is how many failed attempts stay queryable.
 	FailuresKept = 500
 )
@@ -142,9 +170,18 @@
 const (
 	// CommandTimeout bounds one direct command.
 	CommandTimeout = 1500 * time.Millisecond
+	// WorkerConnsIdle is how many connections to workers are kept without a call,
+	// to all together: hundreds of them would take the platform's sockets.
+	WorkerConnsIdle = 64
 	// PokePause is the least time between two direct calls to a machine that
 	// does not answer.
 	PokePause = 2 * time.Second
+	// QuestionsOut is how many machines are asked for their reports at once: each
+	// costs a connection, and a new leader has hundreds to ask.
+	QuestionsOut = 32
+	// DeafAfter is how long after a start a report that does not show it says
+	// that the start did not arrive, where a probe is due as well.
+	DeafAfter = 1 * time.Second
 	// ReleaseAhead is how long before its lease must have ended a silent
 	// machine is given back: about as long as the call takes. Its tasks end
 	// themselves then in any case; the answer proves it.
@@ -173,6 +210,8 @@
 	// LooseShare is the share of starts in time under which an aim on starts
 	// counts as loose, and spare capacity is not kept for it.
 	LooseShare = 0.9
+	// PatientStart is from which time allowed such an aim counts as loose too.
+	PatientStart = 10 * time.Second
 	// SpareShareThrift is the same where it is one.
 	SpareShareThrift = 0.0
 )
@@ -184,6 +223,8 @@
 	// ListEvery is the interval of full machine lists. They tell first that a
 	// machine was taken without notice.
 	ListEvery = 2 * time.Second
+	// ListShare is the share of the cloud's rate that the lists take at the most.
+	ListShare = 0.25
 	// MissingLists is how many lists in a row a machine has to be missing from
 	// before it is given back for that: one list can be older than the last.
 	MissingLists = 2
@@ -192,6 +233,8 @@
 	// CloudRetry is the pause after a refused call, doubled up to CloudRetryMax.
 	CloudRetry    = 1 * time.Second
 	CloudRetryMax = 8 * time.Second
+	// RentGap is the least time between two looks at what to rent.
+	RentGap = 300 * time.Millisecond
 	// CapacityPause is how long a type, zone and kind is not asked for again
 	// after the cloud had none.
 	CapacityPause = 12 * time.Second
@@ -212,11 +255,17 @@
 	// PlaceGap is the least time between two placement rounds, to batch
 	// arrivals and finished tasks.
 	PlaceGap = 15 * time.Millisecond
+	// PlaceGapMachine is added to it for each machine, since each is looked at.
+	PlaceGapMachine = 50 * time.Microsecond
 	// PeerEvery is the interval of pings between nodes, PeerTimeout the bound
 	// on one, and PeerDead how long without an answer makes a peer unreachable.
 	PeerEvery   = 700 * time.Millisecond
 	PeerTimeout = 1500 * time.Millisecond
 	PeerDead    = 2500 * time.Millisecond
+	// CutAfter is how long a node has been without the state service and all
+	// peers when it counts as cut off. Longer than a lost lease and than most
+	// hiccups, since a load balancer holds up its return.
+	CutAfter = 4 * time.Second
 	// HoldFor is how long a node holds the answer by which its peers notice its
 	// end, and HoldGap the pause before they ask again or look closer.
 	HoldFor = 15 * time.Second
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -15,7 +15,9 @@
 type Client struct{ rpc *rpc.Client }
 
 // New makes a client.
-func New() *Client { return &Client{rpc: rpc.New(2, tuning.CommandTimeout, 1<<20)} }
+func New() *Client {
+	return &Client{rpc: rpc.New(2, tuning.WorkerConnsIdle, tuning.CommandTimeout, 1<<20)}
+}
 
 // Outcome is what became of a direct call.
 type Outcome int
