No vote against a leader where all peers refuse, no bar after one

Now: a vote needs another peer that answers, and some time since the last one; only a leader that no worker reaches stays out; a follower that is refused by the leader, and not silent to it, sends workers there.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -24,6 +24,9 @@
 	}
 }
 
+// Lonely is why a leader resigns that serves nobody.
+const Lonely = "no worker reaches this node"
+
 // Tick does what falls due with time.
 func (l *Leader) Tick(now Now) {
 	l.now = now
@@ -31,7 +34,7 @@
 		l.watchMachine(m)
 	}
 	if l.machinesUp() > 0 && now.Mono-max(l.heardAny, l.startedAt) > l.cfg.Report*tuning.LonelyReports {
-		l.out.Resign = "no worker reaches this node"
+		l.out.Resign = Lonely
 	}
 	l.returnMachines()
 	if now.Mono-l.loadAt >= tuning.LoadLine {
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -300,12 +300,14 @@
 }
 
 // watchLeader notices at once when the leader's process ends, and then ends its
-// lease, so that nobody has to wait for it to run out. The signs are two: a held
-// answer breaks off, and new connections are refused, twice. A refused
-// connection alone proves nothing, and even both may mislead (a node without
-// free sockets, a filter); that costs an election, once a term, and no rule,
-// since those rest on tokens and conditions and not on the lease's time.
+// lease, so that nobody has to wait for it to run out. The signs are three: a held
+// answer breaks off, new connections are refused, twice, and another peer answers.
+// Without the last, it may be a filter between the nodes that refuses; then, and
+// when the others are silent too, the lease's own end has to do. The signs may
+// mislead all the same; that costs an election, once a while, and no rule, since
+// those rest on tokens and conditions and not on the lease's time.
 func (n *Node) watchLeader(ctx context.Context) {
+	var voted time.Time
 	for sleep(ctx, tuning.HoldGap) {
 		n.mu.Lock()
 		lead, p := n.lead, n.peers[n.lead.name]
@@ -317,21 +319,17 @@
 		if n.mesh.Hold(ctx, p.Addr) == nil || time.Since(begun) >= tuning.HoldFor {
 			continue
 		}
-		refused := 0
-		for refused < 2 && sleep(ctx, tuning.HoldGap) {
-			_, err := n.mesh.Ping(ctx, p.Addr, mesh.Ping{Node: n.cfg.Node, Boot: n.boot})
-			if !errors.Is(err, syscall.ECONNREFUSED) {
-				break
-			}
-			refused++
+		if time.Since(voted) < tuning.VoteGap || !n.refuses(ctx, p) || !n.othersAnswer(ctx, p) {
+			continue
 		}
 		n.mu.Lock()
 		same := n.lead.term == lead.term && n.leader == nil
-		if refused == 2 && same {
+		if same {
 			n.lead.permit = 0 // once a term
 		}
 		n.mu.Unlock()
-		if refused == 2 && same {
+		if same {
+			voted = time.Now()
 			n.log.Info("the leader's process has ended, ending its lease", "leader", lead.name, "term", lead.term)
 			if err := n.state.Revoke(ctx, lead.permit); err != nil {
 				n.log.Debug("revoke", "err", err)
@@ -339,3 +337,40 @@
 		}
 	}
 }
+
+func (n *Node) probe(ctx context.Context, p *peer) error {
+	_, err := n.mesh.Ping(ctx, p.Addr, mesh.Ping{Node: n.cfg.Node, Boot: n.boot})
+	return err
+}
+
+// refuses reports whether the peer refuses two connections in a row.
+func (n *Node) refuses(ctx context.Context, p *peer) bool {
+	for range 2 {
+		if !sleep(ctx, tuning.HoldGap) || !errors.Is(n.probe(ctx, p), syscall.ECONNREFUSED) {
+			return false
+		}
+	}
+	return true
+}
+
+// othersAnswer reports whether any peer but the given one answers now. Where there
+// is no other, there is nobody to ask.
+func (n *Node) othersAnswer(ctx context.Context, but *peer) bool {
+	if len(n.peers) < 2 {
+		return true
+	}
+	answers := make(chan bool, len(n.peers))
+	asked := 0
+	for _, p := range n.peers {
+		if p != but {
+			asked++
+			go func() { answers <- n.probe(ctx, p) == nil }()
+		}
+	}
+	for range asked {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"reflect"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -77,6 +78,7 @@
 type peer struct {
 	config.Peer
 	heard   time.Time
+	refused time.Time // last time that it refused a connection
 	unable  time.Time // last time that it could not decide a request passed on
 	running map[string]int
 }
@@ -183,7 +185,6 @@
 				// stay with us. In an outage that every node has, their leases
 				// are kept as followers keep them.
 				n.stepDown(n.leader, "cut off from the state service and all peers")
-				n.barred = time.Time{}
 				return
 			}
 			n.leader.Tick(n.now())
@@ -323,7 +324,11 @@
 	n.log.Info("lead given up", "term", n.lead.term, "why", why)
 	n.endTerm()
 	n.lead.name = ""
-	n.barred = time.Now().Add(tuning.ResignPause)
+	if why == core.Lonely {
+		// Whoever is in a better place goes first. After other ends nobody is
+		// barred: five nodes that depose each other would leave no candidate.
+		n.barred = time.Now().Add(tuning.ResignPause)
+	}
 }
 
 func (n *Node) endTerm() {
@@ -460,6 +465,9 @@
 				ping := mesh.Ping{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term}
 				n.mu.Unlock()
 				pong, err := n.mesh.Ping(ctx, p.Addr, ping)
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					n.do(func() { p.refused = time.Now() })
+				}
 				if err != nil {
 					continue
 				}
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -49,7 +49,11 @@
 // a job cancelled meanwhile is off its machines in time; see KeepaliveBound.
 func (n *Node) followerCheckin(r *wire.Report) WorkerAnswer {
 	p := n.peers[n.lead.name]
-	reachable := p != nil && time.Since(p.heard) < tuning.PeerDead
+	reachable := p != nil && (time.Since(p.heard) < tuning.PeerDead ||
+		// A refused connection came all the way: something between the nodes is
+		// in the way, or it has no free socket, and not a cut between zones. By
+		// the state service it leads, so it is there for workers.
+		time.Since(p.refused) < tuning.PeerDead && n.state.Without() == 0)
 	if reachable {
 		delete(n.kept, r.Machine)
 		return WorkerAnswer{Status: http.StatusMisdirectedRequest, Redirect: wire.Redirect{Leader: n.lead.name}}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -262,6 +262,9 @@
 	PeerEvery   = 700 * time.Millisecond
 	PeerTimeout = 1500 * time.Millisecond
 	PeerDead    = 2500 * time.Millisecond
+	// VoteGap is the least time between two leaders that a node votes out: who
+	// finds the next one dead as well at once is likely to be wrong.
+	VoteGap = 10 * time.Second
 	// CutAfter is how long a node has been without the state service and all
 	// peers when it counts as cut off. Longer than a lost lease and than most
 	// hiccups, since a load balancer holds up its return.
