A cut leader steps down; workers are kept alive for a time that counts from the cut

Now: nodes tell each other whether the state service serves them; one that is not served, and neither are those that it hears, no more than half of all, is cut off, steps down and is unhealthy; the time counts from when the lead last worked.

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -25,6 +25,7 @@
 	Boot   uint64 `cbor:"boot"`
 	Leader string `cbor:"leader,omitempty"`
 	Term   uint64 `cbor:"term,omitempty"`
+	Served bool   `cbor:"served,omitempty"` // by the state service, lately
 }
 
 // Pong answers a ping. Running is sent by the leader, for display elsewhere.
@@ -33,6 +34,7 @@
 	Boot    uint64         `cbor:"boot"`
 	Leader  string         `cbor:"leader,omitempty"`
 	Term    uint64         `cbor:"term,omitempty"`
+	Served  bool           `cbor:"served,omitempty"`
 	Running map[string]int `cbor:"running,omitempty"`
 }
 
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -339,7 +339,7 @@
 }
 
 func (n *Node) probe(ctx context.Context, p *peer) error {
-	_, err := n.mesh.Ping(ctx, p.Addr, mesh.Ping{Node: n.cfg.Node, Boot: n.boot})
+	_, err := n.mesh.Ping(ctx, p.Addr, mesh.Ping{Node: n.cfg.Node, Boot: n.boot, Served: n.served()})
 	return err
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,7 @@
 	lead     leadInfo
 	barred   time.Time // no candidate until then
 	peers    map[string]*peer
-	kept     map[string]*kept // workers kept alive without the leader
+	led      time.Time // when the lead last worked, as far as this node can tell
 	settling bool
 	totals   core.Counters // of earlier terms
 	ack      *hdrhistogram.Histogram
@@ -78,6 +78,7 @@
 type peer struct {
 	config.Peer
 	heard   time.Time
+	served  bool      // by the state service, when it was last heard
 	refused time.Time // last time that it refused a connection
 	unable  time.Time // last time that it could not decide a request passed on
 	running map[string]int
@@ -93,7 +94,6 @@
 		mesh:        mesh.New(),
 		replica:     core.NewReplica(),
 		peers:       map[string]*peer{},
-		kept:        map[string]*kept{},
 		ack:         hdrhistogram.New(1, 600_000, 2),
 		answers:     hdrhistogram.New(1, 600_000, 2),
 		submissions: make(chan struct{}, tuning.SubmissionsInFlight),
@@ -184,7 +184,8 @@
 				// Whoever leads by now cannot tell us, and our workers would
 				// stay with us. In an outage that every node has, their leases
 				// are kept as followers keep them.
-				n.stepDown(n.leader, "cut off from the state service and all peers")
+				n.led = time.Now().Add(-n.state.Without())
+				n.stepDown(n.leader, "cut off from the state service and most peers")
 				return
 			}
 			n.leader.Tick(n.now())
@@ -192,18 +193,27 @@
 	}
 }
 
-// cutOff reports whether this node has for a while had neither the state service
-// nor any peer. Called with the lock held.
+// served reports whether the state service has served this node lately.
+func (n *Node) served() bool { return n.state.Without() < tuning.CutAfter }
+
+// cutOff reports whether this node, and those that it still hears, if any, are on
+// the wrong side of a cut: the state service has served none of them for a while,
+// and they are no more than half of all. More of them without it are an outage.
+// Called with the lock held.
 func (n *Node) cutOff() bool {
-	if len(n.peers) == 0 || n.state.Without() < tuning.CutAfter {
+	if len(n.peers) == 0 || n.served() {
 		return false
 	}
+	near := 1
 	for _, p := range n.peers {
 		if time.Since(p.heard) < tuning.CutAfter {
-			return false
+			if p.served {
+				return false
+			}
+			near++
 		}
 	}
-	return true
+	return 2*near <= 1+len(n.peers)
 }
 
 // Healthy reports whether users had better come here than elsewhere: unless cut
@@ -462,7 +472,7 @@
 			defer wg.Done()
 			for sleep(ctx, jitter(tuning.PeerEvery)) {
 				n.mu.Lock()
-				ping := mesh.Ping{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term}
+				ping := mesh.Ping{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term, Served: n.served()}
 				n.mu.Unlock()
 				pong, err := n.mesh.Ping(ctx, p.Addr, ping)
 				if errors.Is(err, syscall.ECONNREFUSED) {
@@ -472,7 +482,10 @@
 					continue
 				}
 				n.do(func() {
-					p.heard = time.Now()
+					p.heard, p.served = time.Now(), pong.Served
+					if p.Name == n.lead.name && pong.Leader == p.Name && pong.Served {
+						n.led = p.heard
+					}
 					p.running = pong.Running
 					n.hearLead(pong.Leader, pong.Term)
 				})
@@ -512,10 +525,10 @@
 	var out mesh.Pong
 	n.do(func() {
 		if q := n.peers[p.Node]; q != nil {
-			q.heard = time.Now()
+			q.heard, q.served = time.Now(), p.Served
 		}
 		n.hearLead(p.Leader, p.Term)
-		out = mesh.Pong{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term}
+		out = mesh.Pong{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term, Served: n.served()}
 		if n.leader != nil {
 			out.Running = n.leader.Running()
 		}
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -72,6 +72,7 @@
 	n := quietNode(t)
 	n.peers["drover-1"] = &peer{Peer: config.Peer{Name: "drover-1", Addr: "b:1"}, heard: time.Now()}
 	n.setLead("drover-1", 9)
+	n.led = time.Now()
 	token := uint64(9)<<tuning.FenceBits | 3
 	report := func(token uint64) WorkerAnswer {
 		return n.Checkin(&wire.Report{Machine: "n-1", Address: "a:1", Session: 1, Tick: 1, Token: token})
@@ -86,7 +87,7 @@
 	if a := report(uint64(8) << tuning.FenceBits); a.Status == http.StatusOK {
 		t.Errorf("a token of an earlier term was kept alive: %+v", a)
 	}
-	n.kept["n-1"].since = time.Now().Add(-n.KeepaliveBound())
+	n.led = time.Now().Add(-n.KeepaliveBound())
 	if a := report(token); a.Status == http.StatusOK {
 		t.Errorf("kept alive for longer than a cancellation leaves time for: %+v", a)
 	}
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -18,12 +18,6 @@
 	Redirect wire.Redirect
 }
 
-// kept is a worker that this node, a follower, keeps alive.
-type kept struct {
-	since time.Time // first answer since the leader was last in reach
-	last  time.Time
-}
-
 // Checkin answers a worker's report.
 func (n *Node) Checkin(r *wire.Report) WorkerAnswer {
 	var out WorkerAnswer
@@ -55,28 +49,10 @@
 		// the state service it leads, so it is there for workers.
 		time.Since(p.refused) < tuning.PeerDead && n.state.Without() == 0)
 	if reachable {
-		delete(n.kept, r.Machine)
 		return WorkerAnswer{Status: http.StatusMisdirectedRequest, Redirect: wire.Redirect{Leader: n.lead.name}}
 	}
-	if n.lead.term != 0 && core.Term(r.Token) == n.lead.term {
-		now := time.Now()
-		k := n.kept[r.Machine]
-		if k == nil || now.Sub(k.last) > config.Seconds(n.cfg.Deployment.Workers.LeaseS) {
-			if len(n.kept) > 10_000 {
-				clear(n.kept) // never in practice: one entry a machine of a cut
-			}
-			// For a node that is cut off the time runs from when it was last in
-			// touch: a job may have been cancelled since.
-			k = &kept{since: now}
-			if n.cutOff() {
-				k.since = now.Add(-n.state.Without())
-			}
-			n.kept[r.Machine] = k
-		}
-		if now.Sub(k.since) < n.KeepaliveBound() {
-			k.last = now
-			return WorkerAnswer{Status: http.StatusOK, Reply: wire.CheckinReply{Token: r.Token, Commands: []wire.Command{}}}
-		}
+	if n.lead.term != 0 && core.Term(r.Token) == n.lead.term && time.Since(n.led) < n.KeepaliveBound() {
+		return WorkerAnswer{Status: http.StatusOK, Reply: wire.CheckinReply{Token: r.Token, Commands: []wire.Command{}}}
 	}
 	if p != nil && n.lead.name != "" {
 		return WorkerAnswer{Status: http.StatusMisdirectedRequest, Redirect: wire.Redirect{Leader: n.lead.name}}
@@ -84,8 +60,11 @@
 	return WorkerAnswer{Status: http.StatusServiceUnavailable}
 }
 
-// KeepaliveBound is how long a follower may keep a worker alive: after it, the
-// worker's lease has to run out before the time for a cancellation is over.
+// KeepaliveBound is for how long after the lead was last known to work (see led)
+// a follower may keep workers alive: a job may have been cancelled right after,
+// and the worker's lease has to run out before the time for that is over. It does
+// not count from the worker's first report here, which in a cut comes only after
+// it has tried other nodes in vain, and where reports are rare much later.
 func (n *Node) KeepaliveBound() time.Duration {
 	w := &n.cfg.Deployment.Workers
 	return max(0, config.Seconds(w.CancelS)-config.Seconds(w.LeaseS)-tuning.KeepaliveMargin)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -265,7 +265,7 @@
 	// VoteGap is the least time between two leaders that a node votes out: who
 	// finds the next one dead as well at once is likely to be wrong.
 	VoteGap = 10 * time.Second
-	// CutAfter is how long a node has been without the state service and all
+	// CutAfter is how long a node has been without the state service and most
 	// peers when it counts as cut off. Longer than a lost lease and than most
 	// hiccups, since a load balancer holds up its return.
 	CutAfter = 4 * time.Second
@@ -274,8 +274,9 @@
 	HoldFor = 15 * time.Second
 	HoldGap = 50 * time.Millisecond
 	// KeepaliveMargin is taken off the time for which a follower keeps the
-	// workers of a cut zone alive; see core.KeepaliveBound.
-	KeepaliveMargin = 5 * time.Second
+	// workers of a cut zone alive, see Node.KeepaliveBound: for a cancellation
+	// whose stops were on their way when the cut began, and for clocks.
+	KeepaliveMargin = 3 * time.Second
 	// LonelyReports is how many report intervals a leader with machines may go
 	// without hearing from any worker before it resigns.
 	LonelyReports = 4
