A zone that is silent but for newcomers is cut off; its machines go back before they must end

Now: two thirds of a zone silent make it a cut; its machines go back shortly before the time for a cancellation ends what runs there anyway.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -261,7 +261,7 @@
 	quiet := now - m.heardAt
 	limit := l.cfg.Lease - tuning.ReleaseAhead
 	if silentZone[m.zone] {
-		limit = time.Duration(float64(l.cfg.Lease) * tuning.ZoneSilence)
+		limit = l.zonePatience()
 	}
 	if m.listedOnce && m.missing >= tuning.MissingLists && quiet > l.cfg.Report*2 {
 		// Once listed, a machine stays listed until it is gone, but a list can
@@ -280,6 +280,18 @@
 	return ""
 }
 
+// zonePatience is how long a zone may be silent as a whole before its machines are
+// given back. A node in it may keep them alive, but not for longer than the time
+// for a cancellation allows: shortly before that, tasks had better start elsewhere
+// than end there with nobody to take them up.
+func (l *Leader) zonePatience() time.Duration {
+	d := time.Duration(float64(l.cfg.Lease) * tuning.ZoneSilence)
+	if l.cfg.Cancel > 0 {
+		d = min(d, l.cfg.Cancel-tuning.KeepaliveMargin-l.cfg.Report)
+	}
+	return max(d, l.cfg.Lease-tuning.ReleaseAhead)
+}
+
 // idle reports whether the machine has stood idle for long enough.
 func (l *Leader) idle(m *machine) bool {
 	now := l.now.Mono
@@ -378,8 +390,10 @@
 	return true
 }
 
-// silentZones are the zones in which every machine is silent, while there is
-// more than one: then it is the network, and a node inside may keep them alive.
+// silentZones are the zones in which most machines are silent, while there is more
+// than one: then it is the network, and a node inside may keep them alive. Not all:
+// the list still brings up machines there that were booting, and others are only
+// counted as silent a little later.
 func (l *Leader) silentZones() map[string]bool {
 	total, quiet := map[string]int{}, map[string]int{}
 	for _, m := range l.machines {
@@ -393,7 +407,7 @@
 	}
 	out := map[string]bool{}
 	for z, n := range total {
-		if n > 1 && quiet[z] == n {
+		if n > 1 && float64(quiet[z]) >= tuning.SilentShare*float64(n) {
 			out[z] = true
 		}
 	}
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -39,6 +39,7 @@
 	Teams      map[string]Team
 	Report     time.Duration
 	Lease      time.Duration
+	Cancel     time.Duration // within which a cancelled job's tasks are gone
 	TxnOps     int
 	ValueBytes int
 	WriteRate  float64
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -564,6 +564,24 @@
 	}
 }
 
+// A zone whose machines are silent but for a newcomer is cut off, not dead: its
+// machines are not given back with what runs there.
+func TestSilentZoneWithANewcomer(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	zone := []string{"n-6", "n-7", "n-8"} // in zone b, see view
+	d.up(append([]string{"n-1", "n-2"}, zone...)...)
+	d.pass(d.l.cfg.Lease-time.Second, "n-1", "n-2")
+	d.l.Listed(d.clock(), []wire.ListedMachine{{Name: "n-9", Type: "box", Zone: "b", Address: "n-9:1", State: wire.MachineRunning}})
+	d.pass(5*time.Second, "n-1", "n-2")
+	if len(d.rel) != 0 {
+		t.Errorf("given back: %v", d.rel)
+	}
+	d.pass(time.Duration(float64(d.l.cfg.Lease)*tuning.ZoneSilence), "n-1", "n-2")
+	if len(d.rel) == 0 {
+		t.Error("never given back")
+	}
+}
+
 // A production service gets room under its team's limit from its own team's
 // lower work, and that room is not taken by others meanwhile.
 func TestProductionUnderItsTeamsLimit(t *testing.T) {
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -230,7 +230,7 @@
 	d := &n.cfg.Deployment
 	s := core.Settings{
 		Teams:  map[string]core.Team{},
-		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
+		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS), Cancel: config.Seconds(d.Workers.CancelS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
 		Aims: map[string]core.Aim{}, Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(),
 		ListLag: config.Seconds(d.Cloud.ListLagS), Policy: n.policy,
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -189,6 +189,9 @@
 	// ZoneSilence is how many leases long a zone may be silent as a whole
 	// before its machines are given back; a node in it may keep them alive.
 	ZoneSilence = 2.5
+	// SilentShare is which share of a zone's machines has to be silent for that.
+	// Waves in which cheap machines are taken stay below it.
+	SilentShare = 2.0 / 3
 	// BootPatience is how many times its usual boot time a machine may take
 	// before it is given back; BootPatienceMin is the least, in seconds, since
 	// some machines take several times as long.
