--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -221,7 +221,7 @@
 	failedOn   map[string]bool
 	retryAt    time.Duration
 	waitSince  time.Duration // since when a task of it waits; 0: none does
-	dueAfter   float64       // seconds from its submission; 0: no deadline
+	dues       []float64     // see Leader.dues
 	placedOnce bool          // some task of it has been placed in this term
 	why        string        // why it waits, for people
 
@@ -233,7 +233,7 @@
 	seenRuns int     // tasks seen from their start to their completion
 	seenRunS float64 // the time that these ran, in seconds
 
-	hopeful bool    // can still meet its deadline, as of the last round
+	hope    int     // which of its deadlines it can still meet, as of the last round
 	overdue bool    // nothing of it was begun for long
 	within  bool    // inside its team's guarantee, as of the last round
 	slack   float64 // seconds until it is due, as of the last round
@@ -418,7 +418,7 @@
 	}
 	// The job's age by the time of day, moved onto our steady clock.
 	j.created = l.now.Mono - time.Duration(max(0, l.now.Wall-rec.Job.CreatedMilli))*time.Millisecond
-	j.dueAfter = l.dueAfter(&j.spec)
+	j.dues = l.dues(&j.spec)
 	l.mergeDone(j, 0, rec.Done)
 	l.jobs[j.id] = j
 	return j
@@ -586,7 +586,7 @@
 		case c.Live != nil && j == nil:
 			j = l.addJob(c.Live)
 			l.dirtyPlace = true
-			l.line(true, "job seen", "job", j.id, "class", j.spec.Class, "tasks", j.spec.Tasks, "team", j.spec.Team, "estimate_s", j.spec.EstimateS, "due_s", j.dueAfter)
+			l.line(true, "job seen", "job", j.id, "class", j.spec.Class, "tasks", j.spec.Tasks, "team", j.spec.Team, "estimate_s", j.spec.EstimateS, "due_s", j.dues)
 		case c.Live != nil && c.Live.Stamp > j.stamp:
 			j.stamp = c.Live.Stamp
 			l.mergeDone(j, 0, c.Live.Record.Done)
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -20,9 +20,10 @@
 
 // digest is what placement asks of a machine's tasks.
 type digest struct {
-	blocked  bool               // something is there whose size we do not know
-	services int                // tasks of services
-	fetching map[string]float64 // images on their way, without those of stopped tasks
+	blocked                 bool // something is there whose size we do not know
+	services                int  // tasks of services, and what they take
+	serviceCPUs, serviceMem float64
+	fetching                map[string]float64 // images on their way, without those of stopped tasks
 }
 
 // digested gives the machine's digest, made anew after its tasks have changed.
@@ -38,6 +39,8 @@
 		}
 		if a.job.service {
 			d.services++
+			d.serviceCPUs += a.job.spec.CPUs
+			d.serviceMem += a.job.spec.MemoryGB
 		}
 		if !a.halt && a.state != wire.TaskRunning && !m.has(a.job.spec.Image) {
 			if d.fetching == nil {
@@ -373,7 +376,7 @@
 		// and under lasting overload again and again.
 		j.overdue = !j.service && j.nActive == 0 && j.nDone == 0 && l.now.Mono-j.created > tuning.BeginBy
 		j.slack = math.Inf(1) // without a deadline, after those that have one
-		if j.dueAfter > 0 {
+		if len(j.dues) > 0 {
 			j.slack = l.due(j)
 		}
 	}
@@ -407,10 +410,7 @@
 // class orders jobs of the same standing: on time within the guarantee, on time
 // beyond it, late within it, late beyond it.
 func (j *job) class() int {
-	c := 0
-	if !j.hopeful {
-		c += 2
-	}
+	c := 2 * j.hope
 	if !j.within {
 		c++
 	}
@@ -548,6 +548,9 @@
 		}
 	} else if m.spot && l.cfg.Thrifty {
 		s -= 0.5
+	} else if m.spot {
+		// It may be taken, and what runs there is lost: the longer the more.
+		s += tuning.SpotRisk * j.duration()
 	}
 	// A full machine is better than two half full ones; without a thrifty aim
 	// the difference only breaks ties.
@@ -608,8 +611,8 @@
 		if ga, gb := good(a), good(b); ga != gb {
 			return ga
 		}
-		if a.job.hopeful != b.job.hopeful {
-			return b.job.hopeful
+		if a.job.hope != b.job.hope {
+			return a.job.hope > b.job.hope
 		}
 		if a.placedAt != b.placedAt {
 			return a.placedAt > b.placedAt
@@ -722,8 +725,8 @@
 			if x.job.rank != y.job.rank {
 				return x.job.rank > y.job.rank
 			}
-			if x.job.hopeful != y.job.hopeful {
-				return y.job.hopeful // late already: the delay costs nothing
+			if x.job.hope != y.job.hope {
+				return x.job.hope > y.job.hope // late already: the delay costs nothing
 			}
 			if x.placedAt != y.placedAt {
 				return x.placedAt > y.placedAt
@@ -746,7 +749,7 @@
 			gpus -= v.job.spec.GPUs
 			mem -= v.job.spec.MemoryGB
 			lost := (l.now.Mono - v.placedAt).Seconds() * max(1, v.job.spec.CPUs)
-			if !v.job.hopeful {
+			if v.job.hopeless() {
 				lost /= 2
 			}
 			cost += lost
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -239,7 +239,7 @@
 		aim := s.Aims[o.Class]
 		switch o.Kind {
 		case "deadline":
-			aim.Times = max(o.Times, 1)
+			aim.Times = append(aim.Times, max(o.Times, 1))
 		case "finished":
 			aim.Within = o.WithinS
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -162,6 +162,9 @@
 	PreemptGap  = 200 * time.Millisecond
 	// RoomLately is how long it is remembered whether a job's task finds room.
 	RoomLately = time.Second
+	// SpotRisk is what part of its run a task is taken to lose on a cheap machine,
+	// where price is no aim. Waves take half of them at once, rarely.
+	SpotRisk = 0.1
 	// FailuresKept is how many failed attempts stay queryable.
 	FailuresKept = 500
 )
