--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -230,7 +230,7 @@
 	d := &n.cfg.Deployment
 	s := core.Settings{
 		Teams:  map[string]core.Team{},
-		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS),
+		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS), Cancel: config.Seconds(d.Workers.CancelS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
 		Aims: map[string]core.Aim{}, Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(),
 		ListLag: config.Seconds(d.Cloud.ListLagS), Policy: n.policy,
@@ -239,7 +239,7 @@
 		aim := s.Aims[o.Class]
 		switch o.Kind {
 		case "deadline":
-			aim.Times = max(o.Times, 1)
+			aim.Times = append(aim.Times, max(o.Times, 1))
 		case "finished":
 			aim.Within = o.WithinS
 		}
@@ -339,7 +339,7 @@
 }
 
 func (n *Node) probe(ctx context.Context, p *peer) error {
-	_, err := n.mesh.Ping(ctx, p.Addr, mesh.Ping{Node: n.cfg.Node, Boot: n.boot})
+	_, err := n.mesh.Ping(ctx, p.Addr, mesh.Ping{Node: n.cfg.Node, Boot: n.boot, Served: n.served()})
 	return err
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -162,6 +162,9 @@
 	PreemptGap  = 200 * time.Millisecond
 	// RoomLately is how long it is remembered whether a job's task finds room.
 	RoomLately = time.Second
+	// SpotRisk is what part of its run a task is taken to lose on a cheap machine,
+	// where price is no aim. Waves take half of them at once, rarely.
+	SpotRisk = 0.1
 	// FailuresKept is how many failed attempts stay queryable.
 	FailuresKept = 500
 )
@@ -189,6 +192,9 @@
 	// ZoneSilence is how many leases long a zone may be silent as a whole
 	// before its machines are given back; a node in it may keep them alive.
 	ZoneSilence = 2.5
+	// SilentShare is which share of a zone's machines has to be silent for that.
+	// Waves in which cheap machines are taken stay below it.
+	SilentShare = 2.0 / 3
 	// BootPatience is how many times its usual boot time a machine may take
 	// before it is given back; BootPatienceMin is the least, in seconds, since
 	// some machines take several times as long.
@@ -265,7 +271,7 @@
 	// VoteGap is the least time between two leaders that a node votes out: who
 	// finds the next one dead as well at once is likely to be wrong.
 	VoteGap = 10 * time.Second
-	// CutAfter is how long a node has been without the state service and all
+	// CutAfter is how long a node has been without the state service and most
 	// peers when it counts as cut off. Longer than a lost lease and than most
 	// hiccups, since a load balancer holds up its return.
 	CutAfter = 4 * time.Second
@@ -274,8 +280,9 @@
 	HoldFor = 15 * time.Second
 	HoldGap = 50 * time.Millisecond
 	// KeepaliveMargin is taken off the time for which a follower keeps the
-	// workers of a cut zone alive; see core.KeepaliveBound.
-	KeepaliveMargin = 5 * time.Second
+	// workers of a cut zone alive, see Node.KeepaliveBound: for a cancellation
+	// whose stops were on their way when the cut began, and for clocks.
+	KeepaliveMargin = 3 * time.Second
 	// LonelyReports is how many report intervals a leader with machines may go
 	// without hearing from any worker before it resigns.
 	LonelyReports = 4
