--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -235,6 +235,7 @@
 
 	hope    int     // which of its deadlines it can still meet, as of the last round
 	overdue bool    // nothing of it was begun for long
+	old     bool    // has missed all its deadlines, long ago
 	within  bool    // inside its team's guarantee, as of the last round
 	slack   float64 // seconds until it is due, as of the last round
 }
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -564,6 +565,82 @@
 	}
 }
 
+// Under lasting overload the largest job, which a plan by deadlines gives up
+// first, begins within four minutes and is finished; so is a gang that fits only
+// on machines that are kept free for it.
+func TestLargestAreServedUnderOverload(t *testing.T) {
+	for seed := range uint64(3) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		d := newDesk(t, false, nil, nil)
+		d.l.cfg.Teams["red"] = Team{CPUs: 8, CPUsMax: 1000}
+		machines := []string{"n-1", "n-2", "n-3"}
+		d.up(machines...)
+		begun, ends := map[string]time.Duration{}, map[string]time.Duration{}
+		on := map[string]map[string]wire.TaskReport{"n-1": {}, "n-2": {}, "n-3": {}}
+		due, first := 30.0, d.now
+		d.submit(wire.Job{ID: "run-900000", Tasks: 120, CPUs: 2, EstimateS: 8, DueS: &due})
+		n := 0
+		for d.now < first+900*time.Second {
+			d.now += 500 * time.Millisecond
+			if d.l.jobs["run-900001"] == nil && begun["run-900001"] == 0 && d.now-first > 20*time.Second {
+				d.submit(wire.Job{ID: "run-900001", Tasks: 2, CPUs: 8, EstimateS: 8, DueS: &due, Shape: wire.ShapeGang})
+			}
+			if rng.IntN(2) == 0 { // some two and a half times what fits
+				n++
+				d.submit(wire.Job{ID: fmt.Sprintf("run-%06d", n), Tasks: 2 + rng.IntN(9), CPUs: 2, EstimateS: 8, DueS: &due})
+			}
+			for _, c := range d.calls {
+				for _, o := range c.Body.Commands {
+					switch o.Verb {
+					case wire.VerbRun:
+						on[c.Machine][o.Task] = running(o)
+						ends[o.Task] = d.now + time.Duration(4+rng.IntN(9))*time.Second
+						id, _, _ := wire.SplitTask(o.Task)
+						if _, ok := begun[id]; !ok {
+							begun[id] = d.now - first
+						}
+					case wire.VerbHalt:
+						delete(on[c.Machine], o.Task)
+					}
+				}
+			}
+			calls := d.calls
+			d.calls = nil
+			reportOf := func(m string) []wire.TaskReport {
+				var out []wire.TaskReport
+				for task, r := range on[m] {
+					if ends[task] <= d.now {
+						r.State, r.Cause = wire.TaskExited, wire.CauseDone
+						on[m][task] = r
+					}
+					out = append(out, r)
+				}
+				return out
+			}
+			for _, c := range calls {
+				d.l.CallDone(d.clock(), c.ID, CallExecuted, d.view(c.Machine, c.Body.Token, reportOf(c.Machine)...))
+			}
+			for _, m := range machines {
+				for _, o := range d.report(m, reportOf(m)...).Commands {
+					if o.Verb == wire.VerbForget {
+						delete(on[m], o.Task)
+					}
+				}
+			}
+			d.l.Tick(d.clock())
+			d.settle()
+		}
+		for _, id := range []string{"run-900000", "run-900001"} {
+			if at, ok := begun[id]; !ok || at > 240*time.Second {
+				t.Fatalf("%s begins after %v", id, at)
+			}
+			if j := d.l.jobs[id]; j != nil {
+				t.Fatalf("%s: %d of %d done after 15 minutes", id, j.nDone, j.spec.Tasks)
+			}
+		}
+	}
+}
+
 // A zone whose machines are silent but for a newcomer is cut off, not dead: its
 // machines are not given back with what runs there.
 func TestSilentZoneWithANewcomer(t *testing.T) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
@@ -58,6 +60,9 @@
 	roomy   []*machine           // usable, with room for the smallest that waits
 	claimed map[*machine]float64 // CPUs on their way to somebody through preemption
 	sought  int                  // jobs for which preemption was tried, production apart
+
+	oldRoom  float64 // CPUs that old jobs may take beside those they have
+	reserved bool    // room is being kept for a gang
 }
 
 // place assigns waiting tasks to machines, in order, and says what was left.
@@ -67,6 +72,13 @@
 	var left []want
 	r := &round{claimed: map[*machine]float64{}}
 	l.findRoom(r, queue)
+	_, total := l.capacity()
+	r.oldRoom = total * tuning.OldShare
+	for _, j := range queue {
+		if j.old {
+			r.oldRoom -= float64(j.nActive) * j.spec.CPUs
+		}
+	}
 	// Room under a team's limit that production waits for. Without this, lower
 	// work would take what it was stopped for, and be stopped again.
 	promised := map[string]Team{}
@@ -97,6 +109,9 @@
 		tries := min(n, budget)
 		if j.overdue && tries > 0 && !j.spec.Gang() {
 			tries = min(tries, max(1, j.spec.Tasks/tuning.BeginPart))
+		} else if j.old {
+			tries = min(tries, int(max(0, r.oldRoom)/max(j.spec.CPUs, 0.1)))
+			r.oldRoom -= float64(tries) * j.spec.CPUs
 		}
 		placed := 0
 		if j.spec.Gang() {
@@ -113,6 +128,10 @@
 				j.why = ""
 				continue
 			}
+			if j.overdue && !r.reserved {
+				r.reserved = true
+				l.reserve(j, n)
+			}
 			tries = n
 		} else if tries > 0 {
 			placed = l.placeTasks(r, j, tries)
@@ -335,6 +354,58 @@
 	return true
 }
 
+// reserve keeps machines free of other work, production apart, until a gang that
+// waits for long fits on them together: room for all of it never comes by itself
+// where smaller tasks take each slot that falls free.
+func (l *Leader) reserve(j *job, n int) {
+	slots := func(m *machine) int {
+		cpus, mem := m.mt.CPUs, m.mt.MemoryGB
+		for _, a := range m.tasks {
+			if a.job != nil && (a.job.service || a.job.rank < j.rank) {
+				cpus -= a.job.spec.CPUs
+				mem -= a.job.spec.MemoryGB
+			}
+		}
+		k := wire.MaxTasks
+		if j.spec.CPUs > 0 {
+			k = min(k, int(cpus/j.spec.CPUs+epsilon))
+		}
+		if j.spec.MemoryGB > 0 {
+			k = min(k, int(mem/j.spec.MemoryGB+epsilon))
+		}
+		return max(k, 0)
+	}
+	var list []*machine
+	room := map[string]int{}
+	for _, m := range l.sorted() {
+		if l.usable(m) && !m.digested().blocked && j.allows(m.typ, m.zone, m.spot) && slots(m) > 0 {
+			list = append(list, m)
+			room[m.zone] += slots(m)
+		}
+	}
+	best := ""
+	for _, z := range slices.Sorted(maps.Keys(room)) {
+		if best == "" || room[z] > room[best] {
+			best = z
+		}
+	}
+	// Those that are emptiest are free soonest.
+	sort.SliceStable(list, func(a, b int) bool { return list[a].cpus < list[b].cpus })
+	taken := map[string]int{}
+	for _, m := range list {
+		if j.spec.Together && m.zone != best || n <= 0 {
+			continue
+		}
+		k := min(slots(m), j.spec.ZoneCap()-taken[m.zone])
+		if k <= 0 {
+			continue
+		}
+		taken[m.zone] += k
+		n -= k
+		m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
+	}
+}
+
 // queue orders the jobs that wait: production first, then what fits its team's
 // guarantee, then by rank and by how little time is left.
 func (l *Leader) queue() []*job {
@@ -374,7 +445,11 @@
 		// What nothing has been begun of for long gets its first tasks, whatever
 		// comes after it: the order by deadlines alone gives up the largest first,
 		// and under lasting overload again and again.
-		j.overdue = !j.service && j.nActive == 0 && j.nDone == 0 && l.now.Mono-j.created > tuning.BeginBy
+		age := l.now.Mono - j.created
+		j.overdue = !j.service && j.nActive == 0 && j.nDone == 0 && age > tuning.BeginBy
+		// And what misses all its deadlines is finished all the same, with a
+		// share of the cluster if nothing else is left to it for long.
+		j.old = !j.service && j.hopeless() && age > tuning.OldAfter
 		j.slack = math.Inf(1) // without a deadline, after those that have one
 		if len(j.dues) > 0 {
 			j.slack = l.due(j)
@@ -388,6 +463,9 @@
 		if x.overdue != y.overdue {
 			return x.overdue
 		}
+		if x.old != y.old {
+			return x.old
+		}
 		// What can still be on time goes before what is late already, even
 		// within a guarantee: of that, the start has been missed too.
 		if cx, cy := x.class(), y.class(); cx != cy {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -155,6 +155,12 @@
 	// Its users are promised that the largest begin within four minutes.
 	BeginBy   = 90 * time.Second
 	BeginPart = 10
+	// OldAfter is how long after its submission a job that misses all its deadlines
+	// gets a share of the cluster of its own, and OldShare that share. Standard
+	// days are over by then; under lasting overload the largest jobs, which are
+	// given up first, would never end.
+	OldAfter = 240 * time.Second
+	OldShare = 0.2
 	// PreemptJobs is for how many waiting jobs a round of placement looks for
 	// work to stop, production apart, and PreemptGap how often for one job: each
 	// look goes over every task.
