--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -141,6 +141,9 @@
 	b, _ := io.ReadAll(resp.Body)
 	var v wire.JobView
 	_ = wire.Unmarshal(b, &v)
+	if resp.Close {
+		resp.Header.Set("Connection", "close") // which the client takes out
+	}
 	return resp.StatusCode, v, resp.Header
 }
 
@@ -291,8 +294,12 @@
 		if s != 503 || h.Get("Retry-After") == "" {
 			t.Errorf("%s %s: %d, Retry-After %q", q.method, q.path, s, h.Get("Retry-After"))
 		}
+		if h.Get("Connection") != "close" { // the load balancer may know a better node
+			t.Errorf("%s %s: the connection is kept", q.method, q.path)
+		}
 	}
 	c.site.Refuse(false)
+	c.until("a poll answered again", func() bool { s, _, _ := c.do(0, "GET", "/v2/runs/run-000021", nil); return s == 404 })
 	c.until("service again", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, job(21, 1))); return s == 201 || s == 200 })
 }
 
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -33,6 +33,7 @@
 		w.lose = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "lose")
 		w.hold = rapid.SampledFrom([]float64{0, 0.02, 0.1}).Draw(t, "hold")
 		w.repeat = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "repeat")
+		w.copies = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "copies")
 		w.users(90 * time.Second)
 		w.troubles(100 * time.Second)
 		w.run(400 * time.Second)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -133,10 +133,6 @@
 				continue
 			}
 			due = true
-			if m.heardAt > a.firstSent+tuning.DeafAfter {
-				// Its reports arrive, what we send does not.
-				l.deaf(m, "a start is not acknowledged")
-			}
 		}
 		if a.halt && l.now.Mono-a.haltedAt >= tuning.HaltRepeat {
 			due = true
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -565,6 +565,180 @@
 	}
 }
 
+// A machine whose reports arrive while nothing reaches it gets no new work; what
+// was placed there counts until it is proven gone, and it is given back. Without
+// the guard, every start that goes there waits out its whole budget.
+func TestDeafMachine(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.now += 2 * d.l.cfg.Lease
+	d.report("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1})
+	old := d.token("n-1")
+	deaf := func(t time.Duration, others ...string) {
+		for end := d.now + t; d.now < end; {
+			for _, c := range d.calls {
+				if c.Machine == "n-1" {
+					d.l.CallDone(d.clock(), c.ID, CallLost, nil)
+				} else {
+					d.answer(c, CallExecuted)
+				}
+			}
+			d.calls = nil
+			d.now += tuning.TickEvery
+			d.reportAs("n-1", old)
+			for _, m := range others {
+				d.report(m, d.on(m)...)
+			}
+			d.l.Tick(d.clock())
+			d.settle()
+		}
+	}
+	deaf(4 * time.Second)
+	d.report("n-2")
+	deaf(time.Second, "n-2")
+	d.submit(wire.Job{ID: "run-000002", Tasks: 4, CPUs: 1})
+	deaf(2*time.Second, "n-2")
+	if n := len(d.l.machines["n-1"].tasks); n != 1 {
+		t.Fatalf("%d tasks on the deaf machine, 1 may be there", n)
+	}
+	if n := len(d.l.machines["n-2"].tasks); n != 4 {
+		t.Errorf("%d of 4 tasks on the other", n)
+	}
+	deaf(d.l.cfg.Lease, "n-2")
+	if len(d.rel) != 1 || d.rel[0][0] != "n-1" {
+		t.Fatalf("given back: %v", d.rel)
+	}
+	if n := len(d.l.machines["n-2"].tasks); n != 4 {
+		t.Error("placed again before the release was answered")
+	}
+	d.l.Released(d.clock(), d.rel[0], ReleaseDone)
+	d.settle()
+	deaf(time.Second, "n-2")
+	if n := len(d.l.machines["n-2"].tasks); n != 5 {
+		t.Errorf("not placed again: %d tasks", n)
+	}
+}
+
+// on lists what a machine would report: all that is placed there, running.
+func (d *desk) on(name string) (out []wire.TaskReport) {
+	for _, a := range d.l.machines[name].list() {
+		if a.sent {
+			out = append(out, wire.TaskReport{Task: wire.TaskName(a.ref.job, a.ref.index), Attempt: a.number, State: wire.TaskRunning})
+		}
+	}
+	return out
+}
+
+// A worker's session that ends although it was answered says that the answers are
+// lost; a direct call that it answers says otherwise.
+func TestSessionLostThoughAnswered(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.pass(2*d.l.cfg.Lease, "n-1")
+	d.calls = nil
+	r := d.view("n-1", d.token("n-1"))
+	r.Session = 2
+	d.l.Checkin(d.clock(), r)
+	if m := d.l.machines["n-1"]; m.deafSince == 0 || d.l.usable(m) {
+		t.Fatal("usable though its answers are lost")
+	}
+	d.l.Tick(d.clock())
+	d.settle()
+	if len(d.calls) != 1 {
+		t.Fatalf("not asked directly: %+v", d.calls)
+	}
+	answer := d.view("n-1", d.calls[0].Body.Token)
+	answer.Session = 2
+	d.l.CallDone(d.clock(), d.calls[0].ID, CallExecuted, answer)
+	if m := d.l.machines["n-1"]; m.deafSince != 0 {
+		t.Error("still taken for deaf")
+	}
+}
+
+// Copies of reports that come late prove nothing, change nothing, are no sign of
+// life, get no starts, and bring no machine back that was given back.
+func TestLateCopiesOfReports(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1", "n-2")
+	early := d.view("n-1", d.token("n-1")) // before it had anything
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 8})
+	d.answerAll(CallExecuted)
+	var m *machine
+	for _, x := range d.l.machines {
+		if len(x.tasks) > 0 {
+			m = x
+		}
+	}
+	early.Machine, early.Address = m.name, m.addr
+	d.report(m.name, d.on(m.name)...)
+	heard, any, session := m.heardAt, d.l.heardAny, m.session
+	d.now += 5 * time.Second
+	for _, copy := range []*wire.Report{early, {Machine: m.name, Address: m.addr, Type: "box", Zone: "a", Session: 0, Tick: 99, Token: early.Token}} {
+		reply, ok := d.l.Checkin(d.clock(), copy)
+		if !ok || len(reply.Commands) != 0 || len(m.tasks) != 1 || m.heardAt != heard || d.l.heardAny != any || m.session != session {
+			t.Errorf("a late copy: %+v, %d tasks, heard %v then %v", reply, len(m.tasks), heard, m.heardAt)
+		}
+	}
+	d.l.Released(d.clock(), []string{m.name}, ReleaseDone)
+	if d.l.Checkin(d.clock(), early); d.l.machines[m.name] != nil {
+		t.Error("a machine that was given back is adopted by a late copy")
+	}
+	// To a new leader it is the first it hears: the machine may be there, but
+	// nothing is placed on it, and it goes back when nothing follows.
+	e := newDesk(t, false, nil, nil)
+	for i, token := range []uint64{0, (deskTerm - 1) << tuning.FenceBits} {
+		first := *early
+		first.Token = token
+		first.Machine = []string{"n-3", "n-4"}[i]
+		e.l.Checkin(e.clock(), &first)
+	}
+	e.up("n-6")
+	e.submit(wire.Job{ID: "run-000002", Tasks: 20, CPUs: 1})
+	e.pass(3*e.l.cfg.Lease, "n-6")
+	for _, name := range []string{"n-3", "n-4"} {
+		if x := e.l.machines[name]; x != nil && len(x.tasks) > 0 {
+			t.Errorf("placed on %s on the word of a late copy", name)
+		}
+	}
+	if len(e.rel) == 0 {
+		t.Error("never given back")
+	}
+}
+
+// A record that cannot be read may be about any job of before: those wait until
+// every machine has reported; later jobs do not.
+func TestUnreadableRecord(t *testing.T) {
+	j := wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1, Team: "red", Shape: wire.ShapeArray, Rank: wire.RankNormal}
+	live := map[string]*LiveJob{j.ID: {Record: &store.JobRecord{Job: j}, Stamp: 5}}
+	for _, key := range []string{store.BatchKey(3, 1), store.MachineKey("n-7")} {
+		d := newDesk(t, false, live, []wire.Item{{Key: key, Value: wire.Raw{0xa1, 0x61}, Stamp: 7}})
+		d.items[key] = wire.Item{Key: key}
+		d.up("n-1")
+		d.submit(wire.Job{ID: "run-000002", Tasks: 1, CPUs: 1})
+		list := []wire.ListedMachine{{Name: "n-1", Type: "box", Zone: "a", Address: "n-1:1", State: wire.MachineRunning, AgeS: 500},
+			{Name: "n-2", Type: "box", Zone: "a", Address: "n-2:1", State: wire.MachineRunning, AgeS: 500}}
+		d.now += time.Second
+		d.l.Listed(d.clock(), list)
+		d.pass(2*time.Second, "n-1")
+		if n := len(d.l.jobs[j.ID].active); n != 0 {
+			t.Fatal("placed while an unreadable record may be about it")
+		}
+		if n := len(d.l.jobs["run-000002"].active); n != 1 {
+			t.Fatal("a later job waits as well")
+		}
+		d.up("n-2")
+		d.l.Listed(d.clock(), list)
+		d.pass(2*time.Second, "n-1", "n-2")
+		if n := len(d.l.jobs[j.ID].active); n != 1 {
+			t.Fatalf("still waits: %s", d.l.jobs[j.ID].why)
+		}
+		if _, left := d.items[key]; left {
+			t.Error("the unreadable record is left")
+		}
+	}
+}
+
 // Under lasting overload the largest job, which a plan by deadlines gives up
 // first, begins within four minutes and is finished; so is a gang that fits only
 // on machines that are kept free for it.
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -566,6 +566,9 @@
 	if a.firstSent == 0 {
 		a.firstSent = now
 	} else {
+		if a.m.heardAt > a.firstSent+tuning.DeafAfter {
+			l.deaf(a.m, "a start is not acknowledged") // its reports arrive, what we send does not
+		}
 		l.count.ProbeRetry++
 		l.line(false, "start not acknowledged, probing again", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", a.m.name, "probe", a.probes)
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -10,10 +10,11 @@
 	"github.com/yarrowgap/yarrowgap/internal/policy"
 	"github.com/yarrowgap/yarrowgap/internal/standin"
 	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
-// world is a simulated deployment: two controller nodes that run the core, and
+// world is a simulated deployment: five controller nodes that run the core, and
 // stand-ins for everything else, with messages that are late, lost, repeated
 // and held back. Everything follows from the seed.
 type world struct {
@@ -32,6 +33,7 @@
 	jobs    []*wire.Job
 	faulty  map[string]bool
 	cut     map[string]time.Duration // machine or node -> cut until
+	deaf    map[string]time.Duration // machine that nothing reaches until then
 
 	trouble   bool // faults go on
 	lying     bool // the cloud answers releases without carrying them out
@@ -39,6 +41,7 @@
 	lose      float64
 	hold      float64
 	repeat    float64
+	copies    float64 // of reports, seconds to well over a lease late
 	lease     time.Duration
 	settings  core.Settings
 	trace     bool // print what the leaders log
@@ -53,7 +56,10 @@
 	boot    int
 	replica *core.Replica
 	refused time.Duration // by the state service, until then
+	cut     time.Duration // from the state service and all peers, until then
 	dead    time.Duration // until then
+	led     time.Duration // when its lead last worked
+	ledTerm uint64
 }
 
 type event struct {
@@ -143,7 +149,7 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), state: standin.NewState(12, 10000),
-		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{},
+		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{}, deaf: map[string]time.Duration{},
 		trouble: true, lease: 12 * time.Second}
 	w.types = []wire.MachineType{
 		{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 0.5, Price: 1, SpotCost: 0.3, BootS: 5, Zones: []string{"a", "b"}},
@@ -155,7 +161,7 @@
 		Report: simReport, Lease: w.lease, TxnOps: 12, ValueBytes: 4096, WriteRate: 40,
 		Policy: policy.Defaults(false),
 	}
-	for i := range 2 {
+	for i := range 5 {
 		n := &simNode{w: w, name: fmt.Sprintf("node-%d", i), replica: core.NewReplica()}
 		w.nodes = append(w.nodes, n)
 		w.every(300*time.Millisecond, n.elect)
@@ -192,6 +198,10 @@
 		sent, session := w.now, wk.Session
 		n := w.nodes[at]
 		answered := false
+		if w.chance(w.copies) {
+			// A copy comes late, to any node, and nobody waits for its answer.
+			w.after(time.Duration(1+w.rng.IntN(40))*time.Second, func() { w.nodes[w.rng.IntN(len(w.nodes))].checkin(&r) })
+		}
 		for _, d := range w.fate(name, n.name) {
 			w.after(d, func() {
 				reply, ok := n.checkin(&r)
@@ -199,6 +209,9 @@
 					return
 				}
 				for _, d := range w.fate(name, n.name) {
+					if w.deaf[name] > w.now {
+						break
+					}
 					w.after(d, func() {
 						if !answered && w.now-sent < 4*time.Second {
 							answered = true
@@ -231,10 +244,12 @@
 
 func (n *simNode) alive() bool { return n.w.now >= n.dead }
 
-func (n *simNode) stateOK() bool { return n.alive() && !n.w.state.Down && n.w.now >= n.refused }
+func (n *simNode) stateOK() bool {
+	return n.alive() && !n.w.state.Down && n.w.now >= n.refused && n.w.now >= n.cut
+}
 
 func (n *simNode) crash(d time.Duration) {
-	n.leader, n.replica = nil, core.NewReplica()
+	n.leader, n.replica, n.ledTerm = nil, core.NewReplica(), 0
 	n.dead = n.w.now + d
 	n.boot++
 }
@@ -243,33 +258,46 @@
 func (n *simNode) elect() {
 	w := n.w
 	if !n.stateOK() {
+		if n.leader != nil && w.now < n.cut && w.now-n.led > 4*time.Second {
+			n.leader = nil // as node.cutOff has it
+		}
 		return
 	}
 	if n.leader != nil {
+		n.led = w.now
 		if !w.state.Renew(w.now, n.permit) {
 			n.leader = nil
 		}
 		return
 	}
-	if w.state.Get(w.now, store.LeaderKey).Stamp != 0 {
+	if it := w.state.Get(w.now, store.LeaderKey); it.Stamp != 0 {
+		var rec store.LeaderRecord
+		must(wire.Unmarshal(it.Value, &rec))
+		if rec.Node == n.name && rec.Boot != uint64(n.boot) {
+			w.state.Revoke(it.Permit) // left by its own earlier process
+		}
 		return
 	}
 	n.permit = w.state.Grant(w.now, 2500*time.Millisecond)
 	status, r := w.state.Commit(w.now, wire.Txn{
 		If:    []wire.Condition{{Key: store.LeaderKey}},
-		Apply: []wire.Change{{Set: store.LeaderKey, Value: store.LeaderRecord{Node: n.name}, Permit: &n.permit}},
+		Apply: []wire.Change{{Set: store.LeaderKey, Value: store.LeaderRecord{Node: n.name, Boot: uint64(n.boot)}, Permit: &n.permit}},
 	})
 	if status != 200 {
 		return
 	}
 	n.term = r.Epoch
 	boot := n.boot
+	if w.chance(0.1) {
+		n.crash(time.Duration(w.rng.IntN(500)) * time.Millisecond) // in the middle of an election
+	}
 	w.after(w.delay(), func() {
 		if n.boot != boot || !n.stateOK() || !w.state.Renew(w.now, n.permit) {
 			return
 		}
 		all := func(prefix string) []wire.Item { return w.state.Range(w.now, prefix, "", 1000).Items }
 		n.replica.Reset(all(store.JobPrefix), w.state.Epoch)
+		n.led, n.ledTerm = w.now, n.term
 		n.leader = core.NewLeader(w.coreNow(), w.settings, n.term, n.replica, all(store.BitsPrefix), all(store.BatchPrefix), w.types)
 		n.drain()
 	})
@@ -313,6 +341,10 @@
 }
 
 func (n *simNode) checkin(r *wire.Report) (wire.CheckinReply, bool) {
+	if n.leader == nil && n.alive() && n.w.now < n.cut && n.ledTerm != 0 && core.Term(r.Token) == n.ledTerm {
+		// A node that is cut off keeps its workers for a while: node.KeepaliveBound.
+		return wire.CheckinReply{Token: r.Token}, n.w.now-n.led < simCancel-n.w.lease-tuning.KeepaliveMargin
+	}
 	if n.leader == nil || !n.alive() {
 		return wire.CheckinReply{}, false
 	}
@@ -432,6 +464,10 @@
 			return
 		}
 		status, r := w.state.Commit(w.now, c.Txn)
+		if w.chance(w.repeat) {
+			// A repeat of a request that was carried out.
+			w.after(time.Duration(w.rng.IntN(20000))*time.Millisecond, func() { w.state.Commit(w.now, c.Txn) })
+		}
 		w.after(w.delay(), func() {
 			switch status {
 			case 200:
@@ -458,7 +494,7 @@
 	for _, d := range w.fate(c.Machine, n.name) {
 		w.after(d, func() {
 			wk := w.workers[c.Machine]
-			if wk.Gone {
+			if wk.Gone || w.deaf[c.Machine] > w.now {
 				return
 			}
 			status, r := wk.Commands(w.now, c.Body)
@@ -489,7 +525,7 @@
 
 // poll asks for a job's state as a node tells it.
 func (w *world) poll(id string) string {
-	state := "unknown"
+	state := ""
 	if it := w.state.Get(w.now, store.EndedKey(id)); it.Stamp != 0 {
 		var rec store.EndedRecord
 		must(wire.Unmarshal(it.Value, &rec))
@@ -582,7 +618,16 @@
 		node := w.nodes[w.rng.IntN(len(w.nodes))]
 		machine := w.names[w.rng.IntN(len(w.names))]
 		long := time.Duration(1+w.rng.IntN(20)) * time.Second
-		switch w.rng.IntN(8) {
+		switch w.rng.IntN(11) {
+		case 8, 9:
+			w.deaf[machine] = w.now + 2*long
+		case 10:
+			// Whoever leads loses the state service and its peers, not its workers.
+			for _, n := range w.nodes {
+				if n.leader != nil {
+					n.cut = w.now + 2*long
+				}
+			}
 		case 0:
 			node.crash(time.Duration(w.rng.IntN(4000)) * time.Millisecond)
 		case 1:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,8 @@
 	lead     leadInfo
 	barred   time.Time // no candidate until then
 	peers    map[string]*peer
-	led      time.Time // when the lead last worked, as far as this node can tell
+	without  func() time.Duration // for how long the state service has not served us
+	led      time.Time            // when the lead last worked, as far as this node can tell
 	settling bool
 	totals   core.Counters // of earlier terms
 	ack      *hdrhistogram.Histogram
@@ -99,6 +100,7 @@
 		submissions: make(chan struct{}, tuning.SubmissionsInFlight),
 		decisions:   make(chan struct{}, tuning.DecisionsInFlight),
 	}
+	n.without = n.state.Without
 	for _, p := range cfg.Peers {
 		n.peers[p.Name] = &peer{Peer: p}
 	}
@@ -184,7 +186,7 @@
 				// Whoever leads by now cannot tell us, and our workers would
 				// stay with us. In an outage that every node has, their leases
 				// are kept as followers keep them.
-				n.led = time.Now().Add(-n.state.Without())
+				n.led = time.Now().Add(-n.without())
 				n.stepDown(n.leader, "cut off from the state service and most peers")
 				return
 			}
@@ -194,7 +196,7 @@
 }
 
 // served reports whether the state service has served this node lately.
-func (n *Node) served() bool { return n.state.Without() < tuning.CutAfter }
+func (n *Node) served() bool { return n.without() < tuning.CutAfter }
 
 // cutOff reports whether this node, and those that it still hears, if any, are on
 // the wrong side of a cut: the state service has served none of them for a while,
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -97,6 +97,65 @@
 	}
 }
 
+// A node without the state service is cut off, and unhealthy, unless a peer that is
+// served is in reach, or so many share its trouble that it is an outage. Once in
+// touch again it is healthy at once.
+func TestCutOff(t *testing.T) {
+	n := quietNode(t)
+	heard := func(served bool, near int) {
+		clear(n.peers)
+		for i := range 4 {
+			p := &peer{Peer: config.Peer{Name: "drover-" + string(rune('1'+i))}, served: served}
+			if i < near {
+				p.heard = time.Now()
+			}
+			n.peers[p.Name] = p
+		}
+	}
+	for _, tc := range []struct {
+		without time.Duration
+		served  bool
+		near    int
+		cut     bool
+	}{
+		{0, false, 0, false},
+		{time.Minute, false, 0, true},
+		{time.Minute, false, 1, true},  // two of five, in one zone
+		{time.Minute, true, 1, false},  // a peer answers for us
+		{time.Minute, false, 4, false}, // an outage
+	} {
+		n.without = func() time.Duration { return tc.without }
+		heard(tc.served, tc.near)
+		if n.Healthy() == tc.cut {
+			t.Errorf("%+v: healthy %v", tc, !tc.cut)
+		}
+	}
+	n.without = func() time.Duration { return 0 }
+	heard(false, 0)
+	if !n.Healthy() {
+		t.Error("unhealthy though served")
+	}
+}
+
+// Where the leader refuses connections from here, it is there for workers: they
+// are sent to it and not held here. A node that never knew the lead to work keeps
+// nobody alive.
+func TestFollowerThatIsRefused(t *testing.T) {
+	n := quietNode(t)
+	p := &peer{Peer: config.Peer{Name: "drover-1", Addr: "b:1"}, refused: time.Now()}
+	n.peers["drover-1"] = p
+	n.setLead("drover-1", 9)
+	n.led = time.Now()
+	r := &wire.Report{Machine: "n-1", Address: "a:1", Session: 1, Tick: 1, Token: 9 << tuning.FenceBits}
+	if a := n.Checkin(r); a.Status != http.StatusMisdirectedRequest || a.Redirect.Leader != "drover-1" {
+		t.Errorf("leader refuses connections: %+v", a)
+	}
+	p.refused, n.led = time.Time{}, time.Time{}
+	if a := n.Checkin(r); a.Status == http.StatusOK {
+		t.Errorf("kept alive by a node that has just started: %+v", a)
+	}
+}
+
 // Answers of watches that overtake each other never take the copy back.
 func TestReplicaKeepsTheLatest(t *testing.T) {
 	raw := func(cancelled bool) wire.Raw {
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -47,7 +47,7 @@
 		// A refused connection came all the way: something between the nodes is
 		// in the way, or it has no free socket, and not a cut between zones. By
 		// the state service it leads, so it is there for workers.
-		time.Since(p.refused) < tuning.PeerDead && n.state.Without() == 0)
+		time.Since(p.refused) < tuning.PeerDead && n.without() == 0)
 	if reachable {
 		return WorkerAnswer{Status: http.StatusMisdirectedRequest, Redirect: wire.Redirect{Leader: n.lead.name}}
 	}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -107,9 +107,20 @@
 // Completed reports whether a task has completed.
 func (r *Rules) Completed(task string) bool { return r.completed[task] }
 
-// Told notes what a user is told of a job.
+// Told notes what a user is told of a job; an empty state says that there is none.
 func (r *Rules) Told(now time.Duration, id, state string) {
-	was := r.told[id]
+	was, known := r.told[id]
+	switch {
+	case state == "" && known:
+		// Accepted jobs stay known, and so do ended ones.
+		r.broken("%v forgotten: %s was %s", now, id, was)
+		return
+	case state == "":
+		return
+	case r.specs[id] == nil:
+		r.broken("%v invented: %s is %s", now, id, state)
+		return
+	}
 	if (was == wire.JobDone || was == wire.JobCancelled) && state != was {
 		r.broken("%v went_back: %s was %s, is %s", now, id, was, state)
 	}
