Questions to silent machines leave places for others; test of batches

Cause, by reading: after a failover in a zone's cut, hundreds of machines that do not answer would hold all places for questions, a second and a half each, while machines elsewhere wait to be confirmed. Now they have half of the places and are asked at growing intervals.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -144,6 +144,7 @@
 	// deafSince is since when it seems that nothing reaches it although its
 	// reports arrive; 0: it hears us. See deaf.
 	deafSince  time.Duration
+	unanswered int           // direct calls in a row
 	answeredAt time.Duration // its last report, which we answered
 	ours       bool          // rented in this term
 }
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -815,6 +815,131 @@
 	}
 }
 
+// A round's starts on many machines take one change; what is left of batches is
+// written again elsewhere before they are deleted, and nothing is left in the end.
+func TestBatchesAreFewAndEnd(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.l.cfg.Teams["red"] = Team{CPUs: 8, CPUsMax: 1000}
+	var names []string
+	for i := range 20 {
+		names = append(names, fmt.Sprintf("n-%02d", i))
+	}
+	d.up(names...)
+	batches := func() (n int) {
+		for key := range d.items {
+			if strings.HasPrefix(key, store.BatchPrefix) {
+				n++
+			}
+		}
+		return n
+	}
+	d.submit(wire.Job{ID: "run-000001", Tasks: 20, CPUs: 8})
+	if n := batches(); n != 1 || d.recorded() != 20 {
+		t.Fatalf("%d tasks recorded in %d values", d.recorded(), n)
+	}
+	d.answerAll(CallExecuted)
+	// A machine of the batch goes: a new leader would look for it.
+	var gone string
+	for _, m := range d.l.sorted() {
+		if len(m.tasks) > 0 {
+			gone = m.name
+		}
+	}
+	d.l.Released(d.clock(), []string{gone}, ReleaseDone)
+	names = slices.DeleteFunc(names, func(n string) bool { return n == gone })
+	keep := func(t time.Duration) {
+		for end := d.now + t; d.now < end; {
+			d.now += tuning.TickEvery
+			for _, n := range names {
+				d.report(n, d.on(n)...)
+			}
+			d.l.Tick(d.clock())
+			d.settle()
+			d.answerQuestions(names)
+		}
+	}
+	keep(2*tuning.RecordFlush + time.Second)
+	for key, it := range d.items {
+		if strings.HasPrefix(key, store.BatchPrefix) && strings.Contains(string(it.Value), gone) {
+			t.Errorf("%s still names %s", key, gone)
+		}
+	}
+	if n := d.recorded(); n != 19 && n != 20 {
+		t.Errorf("%d tasks recorded", n)
+	}
+	for _, n := range names {
+		var done []wire.TaskReport
+		for _, r := range d.on(n) {
+			r.State, r.Cause = wire.TaskExited, wire.CauseDone
+			done = append(done, r)
+		}
+		d.report(n, done...)
+	}
+	d.l.cancelJob(d.l.jobs["run-000001"])
+	for range 20 {
+		d.now += time.Second
+		for _, n := range names {
+			d.report(n)
+		}
+		d.l.Tick(d.clock())
+		d.settle()
+		d.answerAll(CallExecuted)
+	}
+	if n := batches(); n != 0 {
+		t.Errorf("%d batches are left of nothing", n)
+	}
+}
+
+// Machines that do not answer leave places for questions to those that were not
+// asked yet, and are asked less and less often.
+func TestQuestionsAreBounded(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	n := 3 * tuning.QuestionsOut
+	ask := func(from, to int) (list []wire.ListedMachine) {
+		for i := from; i < to; i++ {
+			list = append(list, wire.ListedMachine{Name: fmt.Sprintf("n-%06d", i), Type: "box", Zone: "a", Address: fmt.Sprintf("m%d:1", i), State: wire.MachineRunning})
+		}
+		return list
+	}
+	d.l.Listed(d.clock(), ask(0, n))
+	d.now += 2 * d.l.cfg.Report
+	asked := map[string]int{}
+	round := func() {
+		d.l.heardAny = d.now
+		for _, m := range d.l.machines {
+			m.heardAt = d.now
+		}
+		d.l.Tick(d.clock())
+		d.settle()
+		if len(d.calls) > tuning.QuestionsOut {
+			t.Fatalf("%d questions out", len(d.calls))
+		}
+	}
+	d.l.Listed(d.clock(), ask(0, n)) // now they count as up
+	for range 4 {
+		round()
+		for _, c := range d.calls {
+			asked[c.Machine]++
+		}
+		d.answerAll(CallLost)
+	}
+	if len(asked) != n {
+		t.Errorf("%d of %d machines asked", len(asked), n)
+	}
+	d.now += 16 * tuning.PokePause
+	round() // the silent ones hold their places
+	if len(d.calls) != tuning.QuestionsOut/2 {
+		t.Errorf("%d places held by machines that do not answer", len(d.calls))
+	}
+	d.l.Listed(d.clock(), ask(n, n+1))
+	d.now += 2 * d.l.cfg.Report
+	d.l.Listed(d.clock(), ask(n, n+1))
+	d.settle()
+	if last := d.calls[len(d.calls)-1].Machine; last != fmt.Sprintf("n-%06d", n) {
+		t.Errorf("the new machine waits; asked last: %s", last)
+	}
+}
+
 // A zone whose machines are silent but for a newcomer is cut off, not dead: its
 // machines are not given back with what runs there.
 func TestSilentZoneWithANewcomer(t *testing.T) {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -626,11 +626,18 @@
 
 // poke asks a machine for its report under our token.
 func (l *Leader) poke(m *machine) {
-	if m.phase != up || m.addr == "" || m.calling || m.pokedAt > 0 && l.now.Mono-m.pokedAt < tuning.PokePause {
+	if m.phase != up || m.addr == "" || m.calling || m.pokedAt > 0 && l.now.Mono-m.pokedAt < tuning.PokePause<<min(m.unanswered, 3) {
 		return
 	}
-	if l.polling >= tuning.QuestionsOut || l.pushDue[m.name] {
-		return // the next tick asks on; what is to be pushed asks as well
+	// The next tick asks on. Machines that did not answer last time have half of
+	// the places at the most: each holds one until its call is given up, and in a
+	// cut zone there are hundreds, while others only wait to be asked.
+	places := tuning.QuestionsOut
+	if m.unanswered > 0 {
+		places /= 2
+	}
+	if l.polling >= places || l.pushDue[m.name] {
+		return // what is to be pushed asks as well
 	}
 	m.pokedAt = l.now.Mono
 	l.polling++
@@ -680,6 +687,9 @@
 	if r != nil && r.Machine != m.name {
 		res, r = CallLost, nil // another machine has this address now
 	}
+	if m.unanswered++; res != CallLost {
+		m.unanswered = 0
+	}
 	switch res {
 	case CallLost:
 		if len(cs.runs) > 0 && m.fence == cs.fence {
