--- a/cmd/yarrowgap/main.go
+++ b/cmd/yarrowgap/main.go
@@ -18,7 +18,7 @@
 )
 
 // version is the release; CHANGELOG.md says what is in it.
-const version = "0.1.0"
+const version = "0.2.0"
 
 // Exit codes.
 const (
