--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -726,6 +726,12 @@
 	return !v.within && (u.CPUs-v.spec.CPUs >= guarantee.CPUs-epsilon || v.spec.GPUs > 0 && u.GPUs-v.spec.GPUs >= guarantee.GPUs-epsilon)
 }
 
+// tight reports whether a task of the job that started anew now would miss the
+// deadline that the job can still meet.
+func (l *Leader) tight(j *job) bool {
+	return len(j.dues) > 0 && !j.hopeless() && l.due(j) < j.duration()*tuning.HopeFactor
+}
+
 // preempt makes room for up to n tasks of the job, where it may, one a machine,
 // and says for how many it did: by stopping work of lower priority, or what another
 // team has beyond its guarantee. What was started last is stopped first, since it
@@ -806,6 +812,9 @@
 			if x.job.hope != y.job.hope {
 				return x.job.hope > y.job.hope // late already: the delay costs nothing
 			}
+			if tx, ty := l.tight(x.job), l.tight(y.job); tx != ty {
+				return ty
+			}
 			if x.placedAt != y.placedAt {
 				return x.placedAt > y.placedAt
 			}
@@ -827,8 +836,11 @@
 			gpus -= v.job.spec.GPUs
 			mem -= v.job.spec.MemoryGB
 			lost := (l.now.Mono - v.placedAt).Seconds() * max(1, v.job.spec.CPUs)
-			if v.job.hopeless() {
+			switch {
+			case v.job.hopeless():
 				lost /= 2
+			case l.tight(v.job):
+				lost += tuning.TightCost
 			}
 			cost += lost
 			k++
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -155,6 +155,9 @@
 	// Its users are promised that the largest begin within four minutes.
 	BeginBy   = 90 * time.Second
 	BeginPart = 10
+	// TightCost is what a stop costs beside the work lost, in CPU seconds, if the
+	// task's job will be late for it: as much as a large task's whole run.
+	TightCost = 100
 	// OldAfter is how long after its submission a job that misses all its deadlines
 	// gets a share of the cluster of its own, and OldShare that share. Standard
 	// days are over by then; under lasting overload the largest jobs, which are
