A machine that did not answer a start gets no more until it shows that it hears us

Now their token or an answer has to show first that what we send arrives. Ruled out: a slow leader (its own ticks came in time). A test fails without it.

--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -630,6 +630,25 @@
 	return out
 }
 
+// A machine that does not answer a start gets no more until it shows that it hears
+// us, though it reported just now.
+func TestNoMoreWorkAfterAnUnansweredStart(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1})
+	old := d.token("n-1")
+	d.answerAll(CallLost)
+	d.reportAs("n-1", old)
+	d.submit(wire.Job{ID: "run-000002", Tasks: 1, CPUs: 1})
+	if n := len(d.l.machines["n-1"].tasks); n != 1 {
+		t.Fatalf("%d tasks on a machine that did not answer", n)
+	}
+	d.pass(time.Second, "n-1") // under the token that it was told meanwhile
+	if n := len(d.l.machines["n-1"].tasks); n != 2 {
+		t.Fatalf("%d tasks on a machine that hears us", n)
+	}
+}
+
 // A worker's session that ends although it was answered says that the answers are
 // lost; a direct call that it answers says otherwise.
 func TestSessionLostThoughAnswered(t *testing.T) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -555,9 +555,12 @@
 	return z[zone] < j.spec.ZoneCap()
 }
 
-// usable reports whether tasks may be placed on the machine at all.
+// usable reports whether tasks may be placed on the machine at all. One that did not
+// answer a start has to show that it hears us first, by its token or an answer: else
+// what is placed there meanwhile waits with that start.
 func (l *Leader) usable(m *machine) bool {
-	return m.phase == up && m.confirmed && !m.failed && m.leaveBy == 0 && m.mt != nil && m.deafSince == 0 &&
+	return (m.unanswered == 0 || m.seenToken >= l.token(m)) &&
+		m.phase == up && m.confirmed && !m.failed && m.leaveBy == 0 && m.mt != nil && m.deafSince == 0 &&
 		m.pauseTo <= l.now.Mono && l.now.Mono-m.heardAt < l.cfg.Report*3
 }
 
