A leader without the state service holds workers no longer than a follower may, unless it hears all

Cause, by reading: of five nodes in two zones three are in one; were that zone cut off from everything, its leader would take it for an outage and keep its workers for as long as the cut lasts, while jobs are cancelled outside. Now, unless all nodes are heard and none is served, it steps down when the time for which workers may be kept alive is over. TestCutOff fails without it. The simulated world has zones apart and zones cut off from everything, one with three of five nodes.

--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -34,6 +34,7 @@
 	faulty  map[string]bool
 	cut     map[string]time.Duration // machine or node -> cut until
 	deaf    map[string]time.Duration // machine that nothing reaches until then
+	zoneCut map[string]time.Duration // zone that is apart from the others until then
 
 	trouble   bool // faults go on
 	lying     bool // the cloud answers releases without carrying them out
@@ -120,13 +121,18 @@
 
 // fate decides what becomes of a message: how often it arrives, and when.
 func (w *world) fate(ends ...string) []time.Duration {
+	until := time.Duration(0)
 	for _, e := range ends {
-		if w.cut[e] > w.now {
-			if w.chance(0.5) {
-				return []time.Duration{w.cut[e] - w.now + w.delay()} // held
-			}
-			return nil
+		until = max(until, w.cut[e])
+		if z := w.zoneOf(e); z != w.zoneOf(ends[0]) {
+			until = max(until, w.zoneCut[z], w.zoneCut[w.zoneOf(ends[0])])
+		}
+	}
+	if until > w.now {
+		if w.chance(0.5) {
+			return []time.Duration{until - w.now + w.delay()} // held
 		}
+		return nil
 	}
 	if w.chance(w.lose) {
 		return nil
@@ -141,6 +147,19 @@
 	return out
 }
 
+// zoneOf is the zone of a machine or a node; of the nodes, zone a has three.
+func (w *world) zoneOf(name string) string {
+	if wk := w.workers[name]; wk != nil {
+		return wk.Zone
+	}
+	for i, n := range w.nodes {
+		if n.name == name {
+			return []string{"a", "b"}[i%2]
+		}
+	}
+	return ""
+}
+
 const (
 	simReport = 1500 * time.Millisecond
 	simCancel = 40 * time.Second
@@ -149,7 +168,7 @@
 
 func newWorld(seed uint64) *world {
 	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), state: standin.NewState(12, 10000),
-		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{}, deaf: map[string]time.Duration{},
+		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{}, deaf: map[string]time.Duration{}, zoneCut: map[string]time.Duration{},
 		trouble: true, lease: 12 * time.Second}
 	w.types = []wire.MachineType{
 		{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 0.5, Price: 1, SpotCost: 0.3, BootS: 5, Zones: []string{"a", "b"}},
@@ -618,7 +637,18 @@
 		node := w.nodes[w.rng.IntN(len(w.nodes))]
 		machine := w.names[w.rng.IntN(len(w.names))]
 		long := time.Duration(1+w.rng.IntN(20)) * time.Second
-		switch w.rng.IntN(11) {
+		switch w.rng.IntN(13) {
+		case 11, 12:
+			// Two zones are apart, or one is cut off from everything.
+			z := []string{"a", "b"}[w.rng.IntN(2)]
+			w.zoneCut[z] = w.now + 2*long
+			if w.rng.IntN(2) == 0 {
+				for _, n := range w.nodes {
+					if w.zoneOf(n.name) == z {
+						n.cut = w.now + 2*long
+					}
+				}
+			}
 		case 8, 9:
 			w.deaf[machine] = w.now + 2*long
 		case 10:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -198,9 +198,11 @@
 // served reports whether the state service has served this node lately.
 func (n *Node) served() bool { return n.without() < tuning.CutAfter }
 
-// cutOff reports whether this node, and those that it still hears, if any, are on
+// cutOff reports whether this node, and those that it still hears, if any, may be on
 // the wrong side of a cut: the state service has served none of them for a while,
-// and they are no more than half of all. More of them without it are an outage.
+// and they are no more than half of all. More of them without it are rather an
+// outage; but unless all are heard, others may lead and cancel jobs outside, so
+// that holds only for as long as workers may be kept alive.
 // Called with the lock held.
 func (n *Node) cutOff() bool {
 	if len(n.peers) == 0 || n.served() {
@@ -215,7 +217,8 @@
 			near++
 		}
 	}
-	return 2*near <= 1+len(n.peers)
+	all := 1 + len(n.peers)
+	return 2*near <= all || near < all && n.without() > n.KeepaliveBound()
 }
 
 // Healthy reports whether users had better come here than elsewhere: unless cut
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -123,6 +123,10 @@
 		{time.Minute, false, 1, true},  // two of five, in one zone
 		{time.Minute, true, 1, false},  // a peer answers for us
 		{time.Minute, false, 4, false}, // an outage
+		// Three of five without the other two: an outage with two nodes down, or a
+		// zone that is cut off. Others may cancel jobs, so not for long.
+		{tuning.CutAfter + time.Second, false, 2, false},
+		{time.Minute, false, 2, true},
 	} {
 		n.without = func() time.Duration { return tc.without }
 		heard(tc.served, tc.near)
