A leader that no worker reaches resigns after seconds where many machines report

With 1300 machines a second without any report is no chance. Time in which the process stood still does not count. Ruled out: peers' view (they hear the leader well).

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -33,9 +33,7 @@
 	for _, m := range l.sorted() {
 		l.watchMachine(m)
 	}
-	if l.machinesUp() > 0 && now.Mono-max(l.heardAny, l.startedAt) > l.cfg.Report*tuning.LonelyReports {
-		l.out.Resign = Lonely
-	}
+	l.watchSilence()
 	l.returnMachines()
 	if now.Mono-l.loadAt >= tuning.LoadLine {
 		l.loadAt = now.Mono
@@ -49,6 +47,29 @@
 	l.Settle(now)
 }
 
+// watchSilence resigns when no worker reaches us any more. Hundreds of machines
+// report within any second, so few seconds tell; waiting for several report
+// intervals where these are long would cost the workers their leases, since the
+// other nodes send them here all the while. A few machines may just be between
+// two reports. Time in which this process stood still does not count: whatever
+// came meanwhile has yet to be read.
+func (l *Leader) watchSilence() {
+	if l.heardAny > l.tickAt {
+		l.alone = 0
+	} else {
+		l.alone += min(l.now.Mono-l.tickAt, 2*tuning.TickEvery)
+	}
+	l.tickAt = l.now.Mono
+	n := l.machinesUp()
+	if n == 0 {
+		return
+	}
+	limit := l.cfg.Report * tuning.LonelyReports * tuning.LonelyMachines / time.Duration(max(n, tuning.LonelyMachines))
+	if l.alone > max(limit, tuning.LonelyLeast) {
+		l.out.Resign = Lonely
+	}
+}
+
 // Settle places, writes and rents after any input.
 func (l *Leader) Settle(now Now) {
 	l.now = now
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -309,6 +309,8 @@
 	loadAt     time.Duration
 	listed     bool // the cloud's list was read in this term
 	heardAny   time.Duration
+	tickAt     time.Duration // last tick
+	alone      time.Duration // for how long ticks have found that no worker was heard
 	startedAt  time.Duration
 	tombs      []string        // keys to delete when there is time
 	gone       map[string]bool // given back in this term; names are never used again
@@ -360,7 +362,7 @@
 		gone: map[string]bool{}, pushDue: map[string]bool{}, batches: map[string]*batch{},
 		dirtyJobs: map[*job]bool{}, pausing: map[*job]bool{},
 		budget: cfg.WriteRate, budgetAt: now.Mono,
-		heardAny: now.Mono, startedAt: now.Mono, dirtyPlace: true, placedAt: now.Mono - time.Second,
+		heardAny: now.Mono, tickAt: now.Mono, startedAt: now.Mono, dirtyPlace: true, placedAt: now.Mono - time.Second,
 	}
 	l.SetTypes(now, types)
 	for _, lj := range rep.Live {
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -909,6 +909,37 @@
 	}
 }
 
+// A leader that no worker reaches any more resigns long before their leases end,
+// where there are enough machines to tell; with a few it waits for several reports,
+// and time in which the process stood still is no silence.
+func TestLonelyLeader(t *testing.T) {
+	silent := func(machines int, step time.Duration) time.Duration {
+		d := newDesk(t, false, nil, nil)
+		d.l.cfg.Report, d.l.cfg.Lease = 10*time.Second, 2*time.Minute
+		for i := range machines {
+			d.up(fmt.Sprintf("n-%06d", i))
+		}
+		begun := d.now
+		for d.now-begun < 2*time.Minute {
+			d.now += step
+			d.l.Tick(d.clock())
+			if d.l.Take().Resign != "" {
+				break
+			}
+		}
+		return d.now - begun
+	}
+	if s := silent(400, tuning.TickEvery); s > tuning.LonelyLeast+time.Second {
+		t.Errorf("400 machines: resigned after %v", s)
+	}
+	if s := silent(2, tuning.TickEvery); s < 40*time.Second || s > 41*time.Second {
+		t.Errorf("2 machines: resigned after %v", s)
+	}
+	if s := silent(400, time.Minute); s < 2*time.Minute {
+		t.Errorf("a process that stood still resigned after %v", s)
+	}
+}
+
 // Machines that do not answer leave places for questions to those that were not
 // asked yet, and are asked less and less often.
 func TestQuestionsAreBounded(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -292,9 +292,13 @@
 	// workers of a cut zone alive, see Node.KeepaliveBound: for a cancellation
 	// whose stops were on their way when the cut began, and for clocks.
 	KeepaliveMargin = 3 * time.Second
-	// LonelyReports is how many report intervals a leader with machines may go
-	// without hearing from any worker before it resigns.
-	LonelyReports = 4
+	// LonelyReports is how many report intervals a leader of up to LonelyMachines
+	// machines may go without hearing from any worker before it resigns; with more,
+	// the time is shorter by as much, but LonelyLeast at the least: longer than
+	// connections that are lost all at once take to come back.
+	LonelyReports  = 4
+	LonelyMachines = 16
+	LonelyLeast    = 3 * time.Second
 	// SubmitPatience is how long a submission may be tried at the state service
 	// before it is refused; users give up after 5 s.
 	SubmitPatience = 2500 * time.Millisecond
