Frozen leaders give nothing back; silent machines go before their lease ends; silent zones

A leader deals with the cloud only while its own lease lasts for certain.

A machine that is silent and leaves two questions unanswered is given back at once and not when its lease must have ended: till then its tasks can start nowhere. Questions get more places in large fleets, or two rounds of them take half a minute where a tenth of the machines hang. A zone counts as silent as a whole a report interval after, so that a cut zone is still told from machines.

Of a silent zone only machines whose tasks can go elsewhere are given back early. A new leader counts from when its process last heard a peer there, and a zone that is back gets time.

The simulated workers now turn to the next node when refused, and report at once what commands changed, as the protocol has it.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -80,6 +80,7 @@
 	rep.Live = f.live
 	f.l = NewLeader(f.clock(), fleetSettings(), term, rep, nil, records, fleetTypes)
 	f.l.listed = true
+	f.l.Held(1000 * time.Hour)
 }
 
 func (f *fleet) submit(j wire.Job) {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -47,6 +47,15 @@
 	l.Settle(now)
 }
 
+// Held tells the leader up to when its lease lasts, if it is not renewed.
+func (l *Leader) Held(until time.Duration) { l.heldTo = max(l.heldTo, until) }
+
+// leads reports whether the lead is still ours, as far as the lease tells. The
+// cloud checks no conditions and no tokens: a process that stood still for longer
+// than its lease would find all machines silent when it goes on, and give back
+// hundreds that work for its successor.
+func (l *Leader) leads() bool { return l.now.Mono < l.heldTo }
+
 // watchSilence resigns when no worker reaches us any more. Hundreds of machines
 // report within any second, so few seconds tell; waiting for several report
 // intervals where these are long would cost the workers their leases, since the
@@ -171,7 +180,7 @@
 		l.push(m)
 	}
 	quiet := l.now.Mono - m.heardAt
-	if quiet > l.cfg.Report*2 || !m.confirmed || m.deafSince > 0 || waiting && m.seenToken < l.token(m) {
+	if quiet > l.overdueReport() || !m.confirmed || m.deafSince > 0 || waiting && m.seenToken < l.token(m) {
 		l.poke(m)
 	}
 }
@@ -213,7 +222,7 @@
 
 // returnMachines gives back what is broken, lost, too slow to come up, or idle.
 func (l *Leader) returnMachines() {
-	if l.now.Mono < l.relRetry {
+	if l.now.Mono < l.relRetry || !l.leads() {
 		return
 	}
 	silentZone := l.silentZones()
@@ -276,9 +285,15 @@
 		return "failed"
 	}
 	quiet := now - m.heardAt
-	limit := l.cfg.Lease - tuning.ReleaseAhead
 	if silentZone[m.zone] {
-		limit = l.zonePatience()
+		return l.zoneReason(m, quiet)
+	}
+	// Of a zone that was silent and is back, machines are heard one by one.
+	quiet = min(quiet, now-l.zoneBack[m.zone])
+	if m.unanswered >= tuning.AskedInVain && quiet > l.overdueReport()+tuning.CommandTimeout*tuning.AskedInVain && len(m.tasks) > 0 {
+		// It is dead, hangs or is cut off. Until its lease ends its tasks could
+		// start nowhere else; the answer to the release lets them at once.
+		return "silent, and questions stay unanswered"
 	}
 	if m.listedOnce && m.missing >= tuning.MissingLists && quiet > l.cfg.Report*2 {
 		// Once listed, a machine stays listed until it is gone, but a list can
@@ -288,7 +303,7 @@
 	if m.deafSince > 0 && now-m.deafSince > l.cfg.Lease {
 		return "nothing reaches it"
 	}
-	if quiet > limit {
+	if quiet > l.cfg.Lease-tuning.ReleaseAhead {
 		return "silent for longer than its lease"
 	}
 	if len(m.tasks) == 0 && m.leaveBy == 0 && m.suspect > now {
@@ -297,6 +312,83 @@
 	return ""
 }
 
+// overdueReport is how long after the last sign of life a report is overdue.
+func (l *Leader) overdueReport() time.Duration {
+	return l.cfg.Report*5/4 + tuning.ReportSlack
+}
+
+// zoneReason is why a machine of a zone that is silent as a whole is given back.
+func (l *Leader) zoneReason(m *machine, quiet time.Duration) string {
+	if at, ok := l.zoneHeard[m.zone]; ok && !m.confirmed {
+		// The zone fell silent before our term.
+		quiet = max(quiet, l.now.Mono-at)
+	}
+	switch {
+	case quiet > time.Duration(float64(l.cfg.Lease)*tuning.ZoneSilence):
+		return "its zone is silent for long"
+	case quiet > l.zonePatience() && l.movable(m):
+		return "its zone is silent, and its tasks can go elsewhere"
+	}
+	return ""
+}
+
+// ZoneHeard tells a new leader when its process last heard a peer in a zone.
+func (l *Leader) ZoneHeard(zone string, at time.Duration) {
+	l.zoneHeard[zone] = max(at, l.zoneHeard[zone])
+}
+
+// movable reports whether most of what is on a silent machine could start in
+// another zone if it were given back. Replicas whose job may have no more tasks
+// elsewhere, as with two zones of which each may have half, come back sooner with
+// the zone: its machines are there then, with their images, and a new one would
+// have to boot first.
+func (l *Leader) movable(m *machine) bool {
+	services, free := 0, 0.0
+	var other *job
+	for _, a := range m.tasks {
+		j := a.job
+		switch {
+		case j == nil:
+		case j.service:
+			services++
+			free += l.freeElsewhere(j, m.zone)
+		case other == nil || j.id < other.id:
+			other = j
+		}
+	}
+	if services > 0 {
+		return 2*free >= float64(services)
+	}
+	return other != nil && l.hasRoomLately(other)
+}
+
+// freeElsewhere is what share of the job's tasks in a zone its spread allows in
+// the others.
+func (l *Leader) freeElsewhere(j *job, zone string) float64 {
+	if j.spec.Zone != "" || j.spec.Together {
+		return 0
+	}
+	z := map[string]int{}
+	for _, list := range j.active {
+		for _, a := range list {
+			z[a.m.zone]++
+		}
+	}
+	zones := map[string]bool{}
+	for _, t := range l.types {
+		for _, other := range t.Zones {
+			zones[other] = other != zone && j.allows(t.Name, other, false)
+		}
+	}
+	room := 0
+	for other, ok := range zones {
+		if ok {
+			room += max(0, j.spec.ZoneCap()-z[other])
+		}
+	}
+	return min(1, float64(room)/float64(max(1, z[zone])))
+}
+
 // zonePatience is how long a zone may be silent as a whole before its machines are
 // given back. A node in it may keep them alive, but not for longer than the time
 // for a cancellation allows: shortly before that, tasks had better start elsewhere
@@ -407,18 +499,22 @@
 	return true
 }
 
-// silentZones are the zones in which most machines are silent, while there is more
+// silentZones are the zones in which most machines are silent, as of now, while there is more
 // than one: then it is the network, and a node inside may keep them alive. Not all:
-// the list still brings up machines there that were booting, and others are only
-// counted as silent a little later.
+// the list still brings up machines there that were booting. Of machines that do
+// report, few were last heard a whole interval ago, so this tells long before any of
+// them is given back by itself.
 func (l *Leader) silentZones() map[string]bool {
-	total, quiet := map[string]int{}, map[string]int{}
+	total, quiet, late := map[string]int{}, map[string]int{}, map[string]int{}
 	for _, m := range l.machines {
 		if m.phase != up {
 			continue
 		}
 		total[m.zone]++
-		if l.now.Mono-m.heardAt > l.cfg.Report*2 {
+		if l.now.Mono-m.heardAt > l.overdueReport() {
+			late[m.zone]++
+		}
+		if l.now.Mono-m.heardAt > l.cfg.Report {
 			quiet[m.zone]++
 		}
 	}
@@ -426,6 +522,9 @@
 	for z, n := range total {
 		if n > 1 && float64(quiet[z]) >= tuning.SilentShare*float64(n) {
 			out[z] = true
+			if float64(late[z]) >= tuning.SilentShare*float64(n) {
+				l.zoneBack[z] = l.now.Mono // not by machines that are just between two reports
+			}
 		}
 	}
 	return out
@@ -518,7 +617,7 @@
 // rent asks for machines for what could not be placed, counting those that are
 // on their way, and for spare ones where price is no aim.
 func (l *Leader) rent(left []want) {
-	if len(l.types) == 0 || !l.listed || l.rentAt > 0 && l.now.Mono-l.rentAt < tuning.RentGap {
+	if len(l.types) == 0 || !l.listed || !l.leads() || l.rentAt > 0 && l.now.Mono-l.rentAt < tuning.RentGap {
 		return
 	}
 	l.rentAt = l.now.Mono
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -309,8 +309,11 @@
 	loadAt     time.Duration
 	listed     bool // the cloud's list was read in this term
 	heardAny   time.Duration
-	tickAt     time.Duration // last tick
-	alone      time.Duration // for how long ticks have found that no worker was heard
+	zoneHeard  map[string]time.Duration // see ZoneHeard
+	zoneBack   map[string]time.Duration // when a zone was last silent as a whole
+	heldTo     time.Duration            // until then the lead is ours for certain
+	tickAt     time.Duration            // last tick
+	alone      time.Duration            // for how long ticks have found that no worker was heard
 	startedAt  time.Duration
 	tombs      []string        // keys to delete when there is time
 	gone       map[string]bool // given back in this term; names are never used again
@@ -359,7 +362,7 @@
 		types: map[string]*wire.MachineType{}, usage: map[string]*Team{},
 		commits: map[uint64]*commitState{}, calls: map[uint64]*callState{},
 		rentals: map[string]*rentalState{}, noCap: map[offer]time.Duration{},
-		gone: map[string]bool{}, pushDue: map[string]bool{}, batches: map[string]*batch{},
+		gone: map[string]bool{}, zoneHeard: map[string]time.Duration{}, zoneBack: map[string]time.Duration{}, pushDue: map[string]bool{}, batches: map[string]*batch{},
 		dirtyJobs: map[*job]bool{}, pausing: map[*job]bool{},
 		budget: cfg.WriteRate, budgetAt: now.Mono,
 		heardAny: now.Mono, tickAt: now.Mono, startedAt: now.Mono, dirtyPlace: true, placedAt: now.Mono - time.Second,
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -46,6 +46,7 @@
 		Report: time.Second, Lease: 12 * time.Second, TxnOps: 12, ValueBytes: 4096, WriteRate: 1000, Thrifty: thrifty,
 		GuaranteeWithin: 2 * time.Second, Policy: policy.Defaults(thrifty)}
 	d.l = NewLeader(d.clock(), cfg, deskTerm, rep, nil, machines, types)
+	d.l.Held(1000 * time.Hour)
 	d.settle()
 	return d
 }
@@ -909,6 +910,31 @@
 	}
 }
 
+// Nothing is given back or rented by a leader whose lease may have ended: one that
+// stood still for minutes finds every machine silent, and its successor works with
+// them.
+func TestNoDealingsAfterTheLease(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.l.listed = true
+	d.up("n-000001", "n-000002")
+	d.rents = nil
+	d.l.heldTo = d.now + tuning.LeaseTTL
+	d.now += time.Minute
+	d.submit(wire.Job{ID: "run-000001", Tasks: 9, CPUs: 8})
+	d.l.Tick(d.clock())
+	d.settle()
+	if len(d.rel)+len(d.rents) != 0 {
+		t.Fatalf("given back %v, rented %v", d.rel, d.rents)
+	}
+	d.l.Held(d.now + time.Hour)
+	d.now += time.Second
+	d.l.Tick(d.clock())
+	d.settle()
+	if len(d.rel) != 1 || len(d.rents) == 0 {
+		t.Errorf("with the lease renewed: given back %v, rented %v", d.rel, d.rents)
+	}
+}
+
 // A leader that no worker reaches any more resigns long before their leases end,
 // where there are enough machines to tell; with a few it waits for several reports,
 // and time in which the process stood still is no silence.
@@ -990,6 +1016,117 @@
 	}
 }
 
+// A machine that is silent and leaves questions unanswered is given back long before
+// its lease must have ended: till then its tasks could start nowhere else. One that
+// answers the questions stays, and so does one on which nothing waits.
+func TestUnansweredMachineGoesEarly(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1", "n-2", "n-3", "n-4", "n-5", "n-6")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 2, CPUs: 8})
+	var on []string
+	for _, m := range d.l.sorted() {
+		if len(m.tasks) > 0 {
+			on = append(on, m.name)
+		}
+	}
+	if len(on) != 2 {
+		t.Fatalf("tasks on %v", on)
+	}
+	d.answerAll(CallExecuted)
+	var rest []string
+	for _, n := range []string{"n-1", "n-2", "n-3", "n-4", "n-5", "n-6"} {
+		if !slices.Contains(on, n) {
+			rest = append(rest, n)
+		}
+	}
+	begun := d.now
+	for d.now-begun < d.l.cfg.Lease*3/4 {
+		d.pass(tuning.TickEvery, rest[1:]...) // rest[0] is silent too, and idle
+		calls := d.calls
+		d.calls = nil
+		for _, c := range calls {
+			if c.Machine == on[0] {
+				d.answer(c, CallExecuted)
+			} else {
+				d.answer(c, CallLost)
+			}
+		}
+	}
+	if len(d.rel) != 1 || len(d.rel[0]) != 1 || d.rel[0][0] != on[1] {
+		t.Errorf("given back: %v, not only %s", d.rel, on[1])
+	}
+}
+
+// Of a zone that is silent as a whole, machines whose replicas may have no more room
+// elsewhere are kept for longer: they are there, with their images, when the zone is
+// back. A new leader counts from when its process last heard the zone.
+func TestSilentZoneKeepsWhatCannotMove(t *testing.T) {
+	given := func(scatter bool, heard time.Duration) time.Duration {
+		d := newDesk(t, false, nil, nil)
+		d.l.cfg.Cancel = 24 * time.Second
+		d.up("n-1", "n-2", "n-6", "n-7")
+		d.submit(wire.Job{ID: "run-000001", Tasks: 4, CPUs: 1, Shape: wire.ShapeService, Rank: wire.RankProduction, Scatter: scatter})
+		d.answerAll(CallExecuted)
+		if d.l.machines["n-6"].tasks == nil || len(d.l.machines["n-6"].tasks)+len(d.l.machines["n-7"].tasks) != 2 {
+			t.Fatal("the replicas are not spread")
+		}
+		if heard > 0 {
+			for _, n := range []string{"n-6", "n-7"} {
+				d.l.machines[n].confirmed = false // known by a record only
+			}
+			d.l.ZoneHeard("b", d.now-heard)
+		}
+		begun := d.now
+		for len(d.rel) == 0 && d.now-begun < time.Minute {
+			d.pass(tuning.TickEvery, "n-1", "n-2")
+			d.answerAll(CallLost)
+		}
+		return d.now - begun
+	}
+	if s := given(false, 0); s < 19*time.Second || s > 22*time.Second {
+		t.Errorf("movable replicas: given back after %v", s)
+	}
+	if s := given(true, 0); s < 29*time.Second || s > 32*time.Second {
+		t.Errorf("replicas that cannot move: given back after %v", s)
+	}
+	if s := given(false, 10*time.Second); s > 12*time.Second {
+		t.Errorf("silent for 10 s before the term: given back after %v", s)
+	}
+}
+
+// When a silent zone is back, its machines are heard one by one: those that come a
+// little later are not given back meanwhile.
+func TestZoneBack(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1", "n-2", "n-6", "n-7", "n-8")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 2, CPUs: 8})
+	d.submit(wire.Job{ID: "run-000002", Tasks: 2, CPUs: 8, Team: "blue"})
+	d.answerAll(CallExecuted)
+	if len(d.l.machines["n-8"].tasks)+len(d.l.machines["n-7"].tasks) == 0 {
+		t.Fatal("nothing runs in the zone")
+	}
+	until := func(t time.Duration, names ...string) {
+		for end := d.now + t; d.now < end; {
+			d.now += tuning.TickEvery
+			for _, n := range names {
+				d.report(n, d.on(n)...)
+			}
+			d.l.Tick(d.clock())
+			d.settle()
+			d.answerAll(CallLost)
+		}
+	}
+	until(d.l.cfg.Lease+5*time.Second, "n-1", "n-2")
+	until(3*time.Second, "n-1", "n-2", "n-6", "n-7")
+	if len(d.rel) != 0 {
+		t.Fatalf("given back: %v", d.rel)
+	}
+	until(d.l.cfg.Lease, "n-1", "n-2", "n-6", "n-7")
+	if len(d.rel) != 1 || d.rel[0][0] != "n-8" {
+		t.Errorf("given back: %v", d.rel)
+	}
+}
+
 // A zone whose machines are silent but for a newcomer is cut off, not dead: its
 // machines are not given back with what runs there.
 func TestSilentZoneWithANewcomer(t *testing.T) {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -632,7 +632,7 @@
 	// The next tick asks on. Machines that did not answer last time have half of
 	// the places at the most: each holds one until its call is given up, and in a
 	// cut zone there are hundreds, while others only wait to be asked.
-	places := tuning.QuestionsOut
+	places := max(tuning.QuestionsOut, min(len(l.machines)/tuning.QuestionsPart, tuning.QuestionsMost))
 	if m.unanswered > 0 {
 		places /= 2
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -216,7 +216,7 @@
 		r := wk.Report(w.now)
 		sent, session := w.now, wk.Session
 		n := w.nodes[at]
-		answered := false
+		answered, early := false, false
 		if w.chance(w.copies) {
 			// A copy comes late, to any node, and nobody waits for its answer.
 			w.after(time.Duration(1+w.rng.IntN(40))*time.Second, func() { w.nodes[w.rng.IntN(len(w.nodes))].checkin(&r) })
@@ -225,6 +225,12 @@
 			w.after(d, func() {
 				reply, ok := n.checkin(&r)
 				if !ok {
+					if n.alive() && !answered {
+						// Refused, or sent on: it tries the next node a second later.
+						answered, early = true, true
+						at = (at + 1) % len(w.nodes)
+						w.after(time.Second, next)
+					}
 					return
 				}
 				for _, d := range w.fate(name, n.name) {
@@ -235,6 +241,11 @@
 						if !answered && w.now-sent < 4*time.Second {
 							answered = true
 							wk.Reply(w.now, sent, session, reply)
+							if len(reply.Commands) > 0 {
+								// What changes is reported at once, or nearly.
+								early = true
+								w.after(max(0, sent+500*time.Millisecond-w.now), next)
+							}
 						}
 					})
 					break // a response is read once
@@ -243,6 +254,9 @@
 		}
 		pause := simReport*3/4 + time.Duration(w.rng.Int64N(int64(simReport/2)))
 		w.after(pause, func() {
+			if early {
+				return
+			}
 			if answered {
 				next()
 				return
@@ -286,7 +300,9 @@
 		n.led = w.now
 		if !w.state.Renew(w.now, n.permit) {
 			n.leader = nil
+			return
 		}
+		n.leader.Held(w.now + tuning.LeaseTTL)
 		return
 	}
 	if it := w.state.Get(w.now, store.LeaderKey); it.Stamp != 0 {
@@ -297,7 +313,7 @@
 		}
 		return
 	}
-	n.permit = w.state.Grant(w.now, 2500*time.Millisecond)
+	n.permit = w.state.Grant(w.now, tuning.LeaseTTL)
 	status, r := w.state.Commit(w.now, wire.Txn{
 		If:    []wire.Condition{{Key: store.LeaderKey}},
 		Apply: []wire.Change{{Set: store.LeaderKey, Value: store.LeaderRecord{Node: n.name, Boot: uint64(n.boot)}, Permit: &n.permit}},
@@ -318,6 +334,7 @@
 		n.replica.Reset(all(store.JobPrefix), w.state.Epoch)
 		n.led, n.ledTerm = w.now, n.term
 		n.leader = core.NewLeader(w.coreNow(), w.settings, n.term, n.replica, all(store.BitsPrefix), all(store.BatchPrefix), w.types)
+		n.leader.Held(w.now + tuning.LeaseTTL)
 		n.drain()
 	})
 }
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -107,7 +107,7 @@
 	defer cancel()
 	lost := make(chan struct{})
 	n.mu.Lock()
-	n.permit = permit
+	n.permit, n.heldTo = permit, asked.Add(tuning.LeaseTTL)
 	n.setLead(n.cfg.Node, term)
 	n.mu.Unlock()
 
@@ -149,7 +149,18 @@
 			return
 		default:
 		}
+		begun := time.Now()
 		err := n.state.Renew(ctx, permit)
+		if err == nil {
+			n.do(func() {
+				if n.permit == permit {
+					n.heldTo = begun.Add(tuning.LeaseTTL)
+					if n.leader != nil {
+						n.leader.Held(n.heldTo.Sub(n.start))
+					}
+				}
+			})
+		}
 		if errors.Is(err, store.ErrNoLease) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
@@ -214,6 +225,13 @@
 			}
 			leader = core.NewLeader(n.now(), n.coreSettings(), term, n.replica, bits, append(records, earlier...), n.types)
 			leader.AckLatency = func(d time.Duration) { _ = n.ack.RecordValue(min(max(1, d.Milliseconds()), 600_000)) }
+			leader.Held(n.heldTo.Sub(n.start))
+			for _, p := range n.peers {
+				if !p.heard.IsZero() {
+					leader.ZoneHeard(p.Zone, p.heard.Sub(n.start))
+				}
+			}
+			leader.ZoneHeard(n.cfg.Zone, n.now().Mono)
 			n.leader, n.lost = leader, lost
 		})
 		return leader
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	types    []wire.MachineType
 	leader   *core.Leader // nil unless this node leads
 	permit   uint64       // the lease of our lead
+	heldTo   time.Time    // until then that lease lasts, if it is not renewed
 	lost     chan struct{}
 	lead     leadInfo
 	barred   time.Time // no candidate until then
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -189,8 +189,17 @@
 	// does not answer.
 	PokePause = 2 * time.Second
 	// QuestionsOut is how many machines are asked for their reports at once: each
-	// costs a connection, and a new leader has hundreds to ask.
-	QuestionsOut = 32
+	// costs a connection, and a new leader has hundreds to ask. Large fleets get a
+	// place for each QuestionsPart machines, up to QuestionsMost: of two thousand,
+	// a tenth may fall silent together, and each holds its place until it times out.
+	QuestionsOut  = 32
+	QuestionsPart = 8
+	QuestionsMost = 256
+	// AskedInVain is how many questions in a row a silent machine has to leave
+	// unanswered before it is given back ahead of its lease's end, and ReportSlack
+	// how much later than the protocol allows a report may come before the first.
+	AskedInVain = 2
+	ReportSlack = 500 * time.Millisecond
 	// DeafAfter is how long after a start a report that does not show it says
 	// that the start did not arrive, where a probe is due as well.
 	DeafAfter = 1 * time.Second
