--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -121,3 +121,75 @@
 		t.Errorf("%d records of live jobs are left", n)
 	}
 }
+
+// A fleet: 2400 machines, services and arrays of up to 400 tasks, and failures of
+// hundreds at once: machines that die, that fall deaf and that are cut off, a zone
+// that is cut off while controllers end, all controllers at once right after an
+// outage of the state service. No rule is broken, everything accepted runs, and the
+// calls that go to machines stay in proportion to them.
+func TestFleetThroughMassFailures(t *testing.T) {
+	w := newWorldOf(11, fleetWorld)
+	w.copies = 0.01
+	n := 0
+	submit := func(count int, j wire.Job) {
+		for range count {
+			n++
+			j := j
+			j.ID, j.Class, j.Image, j.ImageGB = fmt.Sprintf("run-%06d", n), "c", fmt.Sprintf("img-%d", n%6), 1
+			j.Team = []string{"red", "blue"}[n%2]
+			w.submit(&j)
+		}
+	}
+	services := wire.Job{Shape: wire.ShapeService, Rank: wire.RankProduction, Tasks: 9, CPUs: 2, MemoryGB: 3, Scatter: true}
+	arrays := wire.Job{Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 400, CPUs: 2, MemoryGB: 3, EstimateS: 8, Spot: true}
+	at := func(d time.Duration, f func()) { w.after(d*time.Second, f) }
+	at(3, func() { submit(100, services); submit(20, arrays) })
+	at(30, func() { submit(20, arrays) })
+	some := func(f func(name string)) {
+		for range 300 {
+			f(w.names[w.rng.IntN(len(w.names))])
+		}
+	}
+	crash := func(d time.Duration) {
+		for _, node := range w.nodes {
+			node.crash(d)
+		}
+	}
+	at(20, func() { some(func(name string) { w.workers[name].Kill() }) })
+	at(35, func() { some(func(name string) { w.deaf[name] = w.now + 30*time.Second }) })
+	at(45, func() {
+		w.zoneCut["b"] = w.now + 42*time.Second
+		for _, node := range w.nodes {
+			if w.zoneOf(node.name) == "b" {
+				node.cut = w.zoneCut["b"]
+			}
+		}
+	})
+	at(55, func() { w.nodes[0].crash(time.Second); w.nodes[2].crash(100 * time.Millisecond) })
+	at(60, func() { submit(20, arrays); w.cancel("run-000001"); w.cancel("run-000101") })
+	at(95, func() { w.state.SetDown(w.now, true) })
+	at(103, func() { w.state.SetDown(w.now, false); crash(200 * time.Millisecond) })
+	at(115, func() { some(func(name string) { w.cut[name] = w.now + 20*time.Second }) })
+	at(120, func() { crash(2 * time.Second) })
+	at(150, func() { w.trouble = false })
+	w.run(280 * time.Second)
+	if len(w.rules.Broken) > 0 {
+		t.Fatalf("broken:\n%s", strings.Join(w.rules.Broken[:min(5, len(w.rules.Broken))], "\n"))
+	}
+	for _, j := range w.jobs {
+		switch state := w.poll(j.ID); {
+		case state == wire.JobCancelled && w.rules.On(j.ID) == 0:
+		case state == wire.JobDone && !j.Service():
+		case state == wire.JobPending && j.Service() && w.rules.On(j.ID) == j.Tasks:
+		default:
+			t.Fatalf("%s is %s with %d of %d tasks on machines", j.ID, state, w.rules.On(j.ID), j.Tasks)
+		}
+	}
+	if w.rules.Starts < 24_000 {
+		t.Errorf("%d starts: too few to show anything", w.rules.Starts)
+	}
+	t.Logf("%d starts, %d direct calls", w.rules.Starts, w.direct)
+	if most := 20 * w.size.machines; w.direct > most {
+		t.Errorf("%d direct calls, not under %d: a storm", w.direct, most)
+	}
+}
