Sockets by need: direct calls bounded, users make room for workers; shortfalls are named

Cause: with 2870 machines (own settings, half as many again as the file's), the leader held 3818 of 4296 connections: a connection for each worker, and a direct call for each machine of a round, which nothing bounded. Direct calls now keep to the sockets left for them, the listener gets 0.8 of all, and where that is nearly used up users' connections are closed after their answer. Settings that cannot hold are named at the start and by check, with the number that falls short; a fleet over the sockets and starts that wait for records are logged while running.

--- a/cmd/yarrowgap/main.go
+++ b/cmd/yarrowgap/main.go
@@ -119,6 +119,11 @@
 	if err != nil {
 		return err
 	}
+	for _, s := range cfg.Shortfalls() {
+		if _, err := fmt.Fprintln(w, "falls short:", s); err != nil {
+			return err
+		}
+	}
 	_, err = fmt.Fprintf(w, "ok: node %s, %d peers, %d teams\n", cfg.Node, len(cfg.Peers), len(cfg.Deployment.Teams))
 	return err
 }
--- a/cmd/yarrowgap/serve.go
+++ b/cmd/yarrowgap/serve.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,10 +43,12 @@
 	if err != nil {
 		return err
 	}
-	if quota.FDLimit > 0 {
-		users = limit(users, max(16, int(float64(quota.FDLimit)*tuning.SocketShare)))
-	}
+	taken, _ := cfg.Sockets()
+	listener := limit(users, taken)
 	log = log.With("node", cfg.Node)
+	for _, s := range cfg.Shortfalls() {
+		log.Error("settings fall short", "what", s)
+	}
 	n := node.New(cfg, pol, log)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -56,7 +59,7 @@
 	}
 
 	failed := make(chan error, 2)
-	servers := []*http.Server{serve(users, api.New(n, log), log, failed), serve(peers, api.NewMesh(n, log), log, failed)}
+	servers := []*http.Server{serve(listener, api.New(n, log, listener.crowded), log, failed), serve(peers, api.NewMesh(n, log), log, failed)}
 	done := make(chan struct{})
 	go func() { n.Run(ctx); close(done) }()
 	select {
@@ -98,12 +101,14 @@
 // closed at once, so that its sender can turn to another node.
 type limited struct {
 	net.Listener
-	slots chan struct{}
+	most int64
+	open atomic.Int64
 }
 
-func limit(l net.Listener, n int) net.Listener {
-	return &limited{l, make(chan struct{}, n)}
-}
+func limit(l net.Listener, n int) *limited { return &limited{Listener: l, most: int64(n)} }
+
+// crowded reports whether few more connections will be accepted.
+func (l *limited) crowded() bool { return float64(l.open.Load()) > tuning.Crowded*float64(l.most) }
 
 func (l *limited) Accept() (net.Conn, error) {
 	for {
@@ -111,13 +116,12 @@
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case l.slots <- struct{}{}:
-			return &limitedConn{Conn: c, leave: sync.OnceFunc(func() { <-l.slots })}, nil
-		default:
-			_ = c.SetDeadline(time.Now())
-			_ = c.Close()
+		if l.open.Add(1) <= l.most {
+			return &limitedConn{Conn: c, leave: sync.OnceFunc(func() { l.open.Add(-1) })}, nil
 		}
+		l.open.Add(-1)
+		_ = c.SetDeadline(time.Now())
+		_ = c.Close()
 	}
 }
 
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -35,9 +35,17 @@
 	return e
 }
 
-// New makes the handler for users, workers, health checks and operators.
-func New(n *node.Node, log *slog.Logger) http.Handler {
+// New makes the handler for users, workers, health checks and operators. Where the
+// listener is crowded, users' connections are closed after their answer: workers
+// rank first, and find none free otherwise.
+func New(n *node.Node, log *slog.Logger, crowded func() bool) http.Handler {
 	e := newEcho(log)
+	answer := func(c echo.Context, a node.Answer) error {
+		if crowded() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return answer(c, a)
+	}
 	e.POST("/v2/runs", func(c echo.Context) error {
 		body, err := read(c)
 		if err != nil {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -42,7 +42,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	n := node.New(cfg, policy.Defaults(false), log)
 	nctx, stop := context.WithCancel(ctx)
-	us, ps := &http.Server{Handler: api.New(n, log)}, &http.Server{Handler: api.NewMesh(n, log)}
+	us, ps := &http.Server{Handler: api.New(n, log, func() bool { return false })}, &http.Server{Handler: api.NewMesh(n, log)}
 	go func() { _ = us.Serve(user) }()
 	go func() { _ = ps.Serve(peer) }()
 	done := make(chan struct{})
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,31 @@
 	}
 }
 
+// What is too small to hold is named with its number, and nothing else is.
+func TestShortfalls(t *testing.T) {
+	for _, tc := range []struct{ old, new, want string }{
+		{"", "", ""},
+		{`value_kb = 4.0`, `value_kb = 2.0`, "value_kb is 2"},
+		{`write_rps = 50.0`, `write_rps = 2.0`, "write_rps is 2"},
+		{`fd_limit = 1000`, `fd_limit = 100`, "fd_limit is 100"},
+		{`mem_mb = 256.0`, `mem_mb = 20.0`, "mem_mb is 20"},
+		{`lease_s = 12.0`, `lease_s = 1.5`, "lease_s is 1.5"},
+		{`cancel_s = 40.0`, `cancel_s = 13.0`, "cancel_s is 13"},
+	} {
+		if !strings.Contains(example(t), tc.old) {
+			t.Fatalf("the example has no %q", tc.old)
+		}
+		s, err := config.Parse([]byte(strings.Replace(example(t), tc.old, tc.new, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := strings.Join(s.Shortfalls(), "; ")
+		if !strings.Contains(got, tc.want) || tc.want == "" && got != "" || strings.Count(got, "deployment.") > 1 {
+			t.Errorf("%q: %q", tc.new, got)
+		}
+	}
+}
+
 // The aims that a deployment states decide how it rents.
 func TestThrift(t *testing.T) {
 	aim := func(kind, share string) string {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -122,6 +122,15 @@
 			why[j.why] += n
 		}
 	}
+	oldest := l.now.Mono
+	for _, a := range l.toRecord {
+		if !a.sent {
+			oldest = min(oldest, a.placedAt)
+		}
+	}
+	if late := l.now.Mono - oldest; late > tuning.RecordsLate {
+		l.line(false, "starts wait for their records: too few changes a second", "starts", len(l.toRecord), "longest_s", late.Seconds(), "changes_a_second", l.cfg.WriteRate)
+	}
 	for _, name := range slices.Sorted(maps.Keys(l.usage)) {
 		if u := l.usage[name]; u.CPUs > 0 {
 			l.line(true, "team load", "team", name, "cpus_used", u.CPUs, "cpus_max", l.cfg.Teams[name].CPUsMax)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,8 @@
 
 	lag                    atomic.Int64 // how late the last tick came, in nanoseconds
 	submissions, decisions chan struct{}
+	calls                  chan struct{} // places of direct calls
+	shortOf                int           // machines, when sockets were last said to fall short of them
 }
 
 // leadInfo is what this node knows of the lead.
@@ -100,6 +102,7 @@
 		answers:     hdrhistogram.New(1, 600_000, 2),
 		submissions: make(chan struct{}, tuning.SubmissionsInFlight),
 		decisions:   make(chan struct{}, tuning.DecisionsInFlight),
+		calls:       make(chan struct{}, directCalls(cfg)),
 	}
 	n.without = n.state.Without
 	for _, p := range cfg.Peers {
@@ -287,7 +290,16 @@
 	n.withLeader(l, func(now core.Now) { l.CommitDone(now, c.ID, res, rev, failed) })
 }
 
+// directCalls is how many direct calls there may be at once: a round of placement
+// may have something for every machine, and sockets do not reach for all of them.
+func directCalls(cfg *config.Settings) int {
+	_, calls := cfg.Sockets()
+	return min(calls, tuning.DirectMost)
+}
+
 func (n *Node) direct(l *core.Leader, c core.DirectCall) {
+	n.calls <- struct{}{}
+	defer func() { <-n.calls }()
 	out, rep, err := n.workers.Commands(context.Background(), c.Addr, c.Body)
 	if err != nil {
 		n.trouble("direct call", err, "machine", c.Machine)
@@ -376,6 +388,10 @@
 		pages := float64(1 + len(list)/tuning.ListPage)
 		wait = max(tuning.ListEvery, config.Seconds(pages/(n.cfg.Deployment.Cloud.RPS*tuning.ListShare)))
 		n.withLeader(l, func(now core.Now) { l.Listed(now, list) })
+		if taken, _ := n.cfg.Sockets(); len(list) > taken && len(list) > n.shortOf {
+			n.shortOf = 2 * len(list)
+			n.log.Error("sockets fall short of the fleet: some workers will be sent away", "machines", len(list), "connections", taken)
+		}
 	}
 }
 
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -5,7 +5,11 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,3 +189,38 @@
 		t.Error("a record under another job's key was trusted")
 	}
 }
+
+// However many machines have something coming, direct calls keep within the sockets
+// that are left for them.
+func TestDirectCallsAreBounded(t *testing.T) {
+	n := quietNode(t)
+	n.cfg.Deployment.Quota.FDLimit = 300
+	if got := directCalls(n.cfg); got != tuning.DirectLeast {
+		t.Errorf("%d places with few sockets", got)
+	}
+	n.calls = make(chan struct{}, 3)
+	var out, most atomic.Int64
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for now := out.Add(1); ; {
+			was := most.Load()
+			if now <= was || most.CompareAndSwap(was, now) {
+				break
+			}
+		}
+		for range 100 {
+			runtime.Gosched() // lets others in, if anything does
+		}
+		out.Add(-1)
+		w.WriteHeader(http.StatusTeapot)
+	})
+	var wg sync.WaitGroup
+	for range 24 {
+		srv := httptest.NewServer(handler) // a machine each: the client bounds one host's connections itself
+		defer srv.Close()
+		wg.Go(func() { n.direct(&core.Leader{}, core.DirectCall{Addr: srv.Listener.Addr().String()}) })
+	}
+	wg.Wait()
+	if got := most.Load(); got == 0 || got > 3 {
+		t.Errorf("%d calls at once, of 3 places", got)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -334,8 +334,23 @@
 	LagSubmissions = 400 * time.Millisecond
 	LagDecisions   = 1200 * time.Millisecond
 	// SocketShare is the share of the platform's socket limit that the user
-	// and worker listener may hold; the rest is for our own calls.
-	SocketShare = 0.7
+	// and worker listener may hold, one for each machine and user; the rest is for
+	// our own calls. Of that, SocketsKept are for the state service, the cloud and
+	// the peers, and direct calls to machines get the others, at least DirectLeast
+	// and at most DirectMost at once.
+	SocketShare = 0.8
+	SocketsKept = 96
+	DirectLeast = 32
+	DirectMost  = 1024
+	// Crowded is from which part of the listener's connections on users are asked to
+	// close theirs after each answer, so that workers, who rank first, find room.
+	Crowded = 0.85
+	// RecordsLate is how long a start may wait for its record before that is said.
+	RecordsLate = 5 * time.Second
+	// Settings below these are named at the start: memory for a fleet of hundreds,
+	// in MB, and a job's record beside its done bits, in KiB.
+	MemoryLeast = 64
+	RecordKB    = 1.5
 	// IdleConn is how long an idle connection is kept. Users poll every 5 s,
 	// workers report every few seconds.
 	IdleConn = 30 * time.Second
