Batches of a zone that is silent for 20 s start anew where there is room; releases refused

Of a silent zone, machines without services are given back after 20 s or three quarters of a lease where their batches find room elsewhere. Ruled out: sooner for services, which run on inside until their leases end.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -253,8 +253,8 @@
 		if why == "" {
 			continue
 		}
-		l.line(false, "giving machine back", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot, "why", why, "tasks", len(m.tasks))
-		m.phase = releasing
+		l.line(m.saidWhy == why, "giving machine back", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot, "why", why, "tasks", len(m.tasks))
+		m.phase, m.saidWhy = releasing, why // repeated while the cloud refuses
 		for _, a := range m.list() {
 			if !a.sent {
 				l.detach(a)
@@ -337,6 +337,10 @@
 		return "its zone is silent for long"
 	case quiet > l.zonePatience() && l.movable(m):
 		return "its zone is silent, and its tasks can go elsewhere"
+	case quiet > max(tuning.ZoneBatch, l.cfg.Lease*3/4) && m.digested().services == 0 && l.movable(m):
+		// Nothing that users notice ends here before its time, and where there is
+		// room a batch had better start anew than wait for the zone.
+		return "its zone is silent, and there is room for its batches elsewhere"
 	}
 	return ""
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -116,6 +116,7 @@
 	askAgain   bool          // its release has to be asked for once more
 	failed     bool          // the cloud says that it has stopped
 	listedOnce bool          // the cloud has listed it in this term
+	saidWhy    string        // why it was last given back, for the log
 	missing    int           // lists since the last one that had it
 	suspect    time.Duration // avoided until then
 	pauseTo    time.Duration // no starts until then
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -553,9 +553,18 @@
 	if s := d.starts(); len(s) != 0 {
 		t.Fatalf("placed before the release was answered: %v", s)
 	}
+	// Heard before the cloud refuses the release: it is alive, and stays.
+	d.report(on, d.on(on)...)
 	d.l.Released(d.clock(), d.rel[0], ReleaseRefused)
 	d.rel = nil
-	d.pass(3*time.Second, rest...)
+	d.pass(2*time.Second, rest...)
+	if len(d.rel) != 0 {
+		t.Fatalf("given back though heard: %v", d.rel)
+	}
+	for range 10 {
+		d.pass(time.Second, rest...)
+		d.answerAll(CallLost)
+	}
 	if len(d.rel) != 1 || len(d.starts()) != 0 {
 		t.Fatalf("after a refused release: %v, %v", d.rel, d.starts())
 	}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -23,7 +23,11 @@
 	m := l.machineOf(r)
 	if m.phase == releasing {
 		// Its tasks count until the release is answered. Its lease may as well
-		// be kept, so that it goes on if the release fails.
+		// be kept, so that it goes on if the release fails, and is not asked for
+		// again then as if it were silent.
+		if r.Newer(m.session, m.tick) {
+			m.heardAt, m.unanswered, l.heardAny = now.Mono, 0, now.Mono
+		}
 		return wire.CheckinReply{Token: l.token(m)}, true
 	}
 	// A copy of an earlier report, however late it comes, is no sign of life and
