Only questions since the last sign of life count against a silent machine

Cause: found in reading. The count of unanswered calls outlives later reports, so that a machine with old ones would have gone back after one pause of its reports.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -299,7 +299,7 @@
 	}
 	// Of a zone that was silent and is back, machines are heard one by one.
 	quiet = min(quiet, now-l.zoneBack[m.zone])
-	if m.unanswered >= tuning.AskedInVain && quiet > l.overdueReport()+tuning.CommandTimeout*tuning.AskedInVain && len(m.tasks) > 0 {
+	if m.vain >= tuning.AskedInVain && quiet > l.overdueReport()+tuning.CommandTimeout*tuning.AskedInVain && len(m.tasks) > 0 {
 		// It is dead, hangs or is cut off. Until its lease ends its tasks could
 		// start nowhere else; the answer to the release lets them at once.
 		return "silent, and questions stay unanswered"
@@ -847,6 +847,21 @@
 	}
 }
 
+// capacityPause is how long an offer that had too few machines is not asked for
+// again: as short as the cloud's rate allows for all offers together, since after a
+// wave that takes machines there are some again within seconds.
+func (l *Leader) capacityPause() time.Duration {
+	if l.cfg.CloudRate <= 0 {
+		return tuning.CapacityPause
+	}
+	offers := 0
+	for _, t := range l.types {
+		offers += 2 * len(t.Zones)
+	}
+	pause := time.Duration(float64(offers) / (l.cfg.CloudRate * tuning.RentShare) * float64(time.Second))
+	return min(max(pause, tuning.CapacityPauseLeast), tuning.CapacityPause)
+}
+
 // RentResult says what became of a rental.
 type RentResult int
 
@@ -875,15 +890,15 @@
 			}
 		}
 		if len(machines) < r.count {
-			l.noCap[r.offer] = now.Mono + tuning.CapacityPause
+			l.noCap[r.offer] = now.Mono + l.capacityPause()
 		}
 	case RentNone:
-		l.noCap[r.offer] = now.Mono + tuning.CapacityPause
+		l.noCap[r.offer] = now.Mono + l.capacityPause()
 	case RentRefused:
 		l.noCap[r.offer] = now.Mono + 2*tuning.CloudRetry
 	case RentUnknown:
 		// Whatever was rented is listed soon; until then nothing more of it.
-		l.noCap[r.offer] = now.Mono + tuning.CapacityPause
+		l.noCap[r.offer] = now.Mono + l.capacityPause()
 	}
 	l.line(false, "rental answered", "hire", name, "result", [...]string{"unknown", "rented", "no capacity", "refused"}[res], "machines", len(machines))
 	l.dirtyPlace = true
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -43,6 +43,7 @@
 	TxnOps     int
 	ValueBytes int
 	WriteRate  float64
+	CloudRate  float64 // requests a second that the cloud takes; 0: not known
 	Thrifty    bool
 	Aims       map[string]Aim // by class
 	// GuaranteeWithin is how soon work within a guarantee should start.
@@ -146,6 +147,7 @@
 	// reports arrive; 0: it hears us. See deaf.
 	deafSince  time.Duration
 	unanswered int           // direct calls in a row
+	vain       int           // the same since its last sign of life
 	answeredAt time.Duration // its last report, which we answered
 	ours       bool          // rented in this term
 }
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -919,6 +919,27 @@
 	}
 }
 
+// What the cloud had none of is asked for again as soon as its rate allows: four
+// kinds here, at three tenths of the rate.
+func TestCapacityIsAskedForAgain(t *testing.T) {
+	for rate, want := range map[float64]time.Duration{0: tuning.CapacityPause, 0.1: tuning.CapacityPause, 4: time.Second * 10 / 3, 1000: tuning.CapacityPauseLeast} {
+		d := newDesk(t, false, nil, nil)
+		d.l.listed, d.l.cfg.CloudRate = true, rate
+		d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 8})
+		if len(d.rents) == 0 {
+			t.Fatal("nothing rented")
+		}
+		r := d.rents[0].Request
+		for _, other := range d.rents[1:] {
+			d.l.Rented(d.clock(), other.Request.Name, RentRefused, nil)
+		}
+		d.l.Rented(d.clock(), r.Name, RentNone, nil)
+		if got := d.l.noCap[offer{r.Type, r.Zone, r.Spot}] - d.now; got.Round(time.Millisecond) != want.Round(time.Millisecond) {
+			t.Errorf("rate %v: asked again after %v, not %v", rate, got, want)
+		}
+	}
+}
+
 // Nothing is given back or rented by a leader whose lease may have ended: one that
 // stood still for minutes finds every machine silent, and its successor works with
 // them.
@@ -1027,21 +1048,23 @@
 
 // A machine that is silent and leaves questions unanswered is given back long before
 // its lease must have ended: till then its tasks could start nowhere else. One that
-// answers the questions stays, and so does one on which nothing waits.
+// answers the questions stays, and so does one whose questions are still out, however
+// often it left others unanswered before it was last heard.
 func TestUnansweredMachineGoesEarly(t *testing.T) {
 	d := newDesk(t, false, nil, nil)
 	d.up("n-1", "n-2", "n-3", "n-4", "n-5", "n-6")
-	d.submit(wire.Job{ID: "run-000001", Tasks: 2, CPUs: 8})
+	d.submit(wire.Job{ID: "run-000001", Tasks: 3, CPUs: 5})
 	var on []string
 	for _, m := range d.l.sorted() {
 		if len(m.tasks) > 0 {
 			on = append(on, m.name)
 		}
 	}
-	if len(on) != 2 {
+	if len(on) != 3 {
 		t.Fatalf("tasks on %v", on)
 	}
 	d.answerAll(CallExecuted)
+	d.l.machines[on[2]].unanswered = 5 // long ago: says nothing of now
 	var rest []string
 	for _, n := range []string{"n-1", "n-2", "n-3", "n-4", "n-5", "n-6"} {
 		if !slices.Contains(on, n) {
@@ -1050,13 +1073,16 @@
 	}
 	begun := d.now
 	for d.now-begun < d.l.cfg.Lease*3/4 {
-		d.pass(tuning.TickEvery, rest[1:]...) // rest[0] is silent too, and idle
+		d.pass(tuning.TickEvery, rest...)
 		calls := d.calls
 		d.calls = nil
 		for _, c := range calls {
-			if c.Machine == on[0] {
+			switch c.Machine {
+			case on[0]:
 				d.answer(c, CallExecuted)
-			} else {
+			case on[2]:
+				d.calls = append(d.calls, c) // still out
+			default:
 				d.answer(c, CallLost)
 			}
 		}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -26,7 +26,7 @@
 		// be kept, so that it goes on if the release fails, and is not asked for
 		// again then as if it were silent.
 		if r.Newer(m.session, m.tick) {
-			m.heardAt, m.unanswered, l.heardAny = now.Mono, 0, now.Mono
+			m.heardAt, m.vain, l.heardAny = now.Mono, 0, now.Mono
 		}
 		return wire.CheckinReply{Token: l.token(m)}, true
 	}
@@ -37,7 +37,7 @@
 		l.hearing(m, r)
 		m.answeredAt = now.Mono
 		l.heardAny = now.Mono
-		m.heardAt = now.Mono
+		m.heardAt, m.vain = now.Mono, 0
 		l.takeReport(m, r, true)
 	}
 	cmds := []wire.Command{}
@@ -691,8 +691,9 @@
 	if r != nil && r.Machine != m.name {
 		res, r = CallLost, nil // another machine has this address now
 	}
+	m.vain++
 	if m.unanswered++; res != CallLost {
-		m.unanswered = 0
+		m.unanswered, m.vain = 0, 0
 	}
 	switch res {
 	case CallLost:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -263,9 +263,12 @@
 	CloudRetryMax = 8 * time.Second
 	// RentGap is the least time between two looks at what to rent.
 	RentGap = 300 * time.Millisecond
-	// CapacityPause is how long a type, zone and kind is not asked for again
-	// after the cloud had none.
-	CapacityPause = 12 * time.Second
+	// CapacityPause is how long a type, zone and kind is at most not asked for again
+	// after the cloud had none, and CapacityPauseLeast at the least; RentShare is the
+	// share of the cloud's rate that asking for all of them again may take.
+	CapacityPause      = 12 * time.Second
+	CapacityPauseLeast = 2 * time.Second
+	RentShare          = 0.3
 	// RentMax and ReleaseMax are the protocol's limits on one call.
 	RentMax    = 50
 	ReleaseMax = 100
