Batches of a silent zone wait again; a zone's silence before a term ends when it is heard

And machines of a zone that had been heard in the term, unconfirmed ones, counted as silent since before it.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -328,8 +328,8 @@
 
 // zoneReason is why a machine of a zone that is silent as a whole is given back.
 func (l *Leader) zoneReason(m *machine, quiet time.Duration) string {
-	if at, ok := l.zoneHeard[m.zone]; ok && !m.confirmed {
-		// The zone fell silent before our term.
+	if at, ok := l.zoneHeard[m.zone]; ok {
+		// The zone fell silent before our term, and was not heard in it.
 		quiet = max(quiet, l.now.Mono-at)
 	}
 	switch {
@@ -337,10 +337,6 @@
 		return "its zone is silent for long"
 	case quiet > l.zonePatience() && l.movable(m):
 		return "its zone is silent, and its tasks can go elsewhere"
-	case quiet > max(tuning.ZoneBatch, l.cfg.Lease*3/4) && m.digested().services == 0 && l.movable(m):
-		// Nothing that users notice ends here before its time, and where there is
-		// room a batch had better start anew than wait for the zone.
-		return "its zone is silent, and there is room for its batches elsewhere"
 	}
 	return ""
 }
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -1096,7 +1096,7 @@
 // elsewhere are kept for longer: they are there, with their images, when the zone is
 // back. A new leader counts from when its process last heard the zone.
 func TestSilentZoneKeepsWhatCannotMove(t *testing.T) {
-	given := func(scatter bool, heard time.Duration) time.Duration {
+	given := func(scatter bool, heard time.Duration, again bool) time.Duration {
 		d := newDesk(t, false, nil, nil)
 		d.l.cfg.Cancel = 24 * time.Second
 		d.up("n-1", "n-2", "n-6", "n-7")
@@ -1106,11 +1106,11 @@
 			t.Fatal("the replicas are not spread")
 		}
 		if heard > 0 {
-			for _, n := range []string{"n-6", "n-7"} {
-				d.l.machines[n].confirmed = false // known by a record only
-			}
 			d.l.ZoneHeard("b", d.now-heard)
 		}
+		if again {
+			d.report("n-6", d.on("n-6")...)
+		}
 		begun := d.now
 		for len(d.rel) == 0 && d.now-begun < time.Minute {
 			d.pass(tuning.TickEvery, "n-1", "n-2")
@@ -1118,15 +1118,18 @@
 		}
 		return d.now - begun
 	}
-	if s := given(false, 0); s < 19*time.Second || s > 22*time.Second {
+	if s := given(false, 0, false); s < 19*time.Second || s > 22*time.Second {
 		t.Errorf("movable replicas: given back after %v", s)
 	}
-	if s := given(true, 0); s < 29*time.Second || s > 32*time.Second {
+	if s := given(true, 0, false); s < 29*time.Second || s > 32*time.Second {
 		t.Errorf("replicas that cannot move: given back after %v", s)
 	}
-	if s := given(false, 10*time.Second); s > 12*time.Second {
+	if s := given(false, 10*time.Second, false); s > 12*time.Second {
 		t.Errorf("silent for 10 s before the term: given back after %v", s)
 	}
+	if s := given(false, 10*time.Second, true); s < 19*time.Second {
+		t.Errorf("heard in the term: given back after %v", s)
+	}
 }
 
 // When a silent zone is back, its machines are heard one by one: those that come a
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -38,6 +38,7 @@
 		m.answeredAt = now.Mono
 		l.heardAny = now.Mono
 		m.heardAt, m.vain = now.Mono, 0
+		delete(l.zoneHeard, m.zone)
 		l.takeReport(m, r, true)
 	}
 	cmds := []wire.Command{}
@@ -725,6 +726,7 @@
 	if r != nil && m.phase == up {
 		l.heardAny = now.Mono
 		m.heardAt = now.Mono
+		delete(l.zoneHeard, m.zone)
 		m.deafSince = 0 // it answered what we sent just now
 		if r.Newer(m.session, m.tick) {
 			l.takeReport(m, r, false)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -210,10 +210,6 @@
 	// ZoneSilence is how many leases long a zone may be silent as a whole
 	// before its machines are given back; a node in it may keep them alive.
 	ZoneSilence = 2.5
-	// ZoneBatch is how long a zone may be silent, at the least, before batches that
-	// find room elsewhere are started anew there. Longer than two zones usually
-	// lose each other.
-	ZoneBatch = 20 * time.Second
 	// SilentShare is which share of a zone's machines has to be silent for that.
 	// Waves in which cheap machines are taken stay below it.
 	SilentShare = 2.0 / 3
