--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -22,7 +22,10 @@
 	Addr string `toml:"addr"`
 }
 
-// Team has a guarantee and a limit; a limit of 0 means none at all.
+// Team has a guarantee and a limit. Where the file says 0 a guarantee is none, and
+// so is a limit on CPUs: nothing runs without any, so a team that may have none
+// would not be named. A limit of 0 on GPUs keeps a team off them, unless none of its
+// figures is set: a guest, who uses what is free.
 type Team struct {
 	Name    string  `toml:"name"`
 	CPUs    float64 `toml:"cpus"`
@@ -160,6 +163,12 @@
 			bad(f+".name", "named twice: %q", t.Name)
 		}
 		teams[t.Name] = true
+		if t.CPUsMax == 0 {
+			d.Teams[i].CPUsMax = math.Inf(1)
+			if t.GPUs == 0 && t.GPUsMax == 0 {
+				d.Teams[i].GPUsMax = math.Inf(1)
+			}
+		}
 		for _, v := range []struct {
 			n string
 			v float64
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -48,6 +49,24 @@
 	}
 }
 
+// A team for which the file has no figures is a guest: it is guaranteed nothing and
+// limited by nothing. Its jobs were all refused when a limit of 0 was taken at its
+// word. A team with a limit on CPUs and none on GPUs stays off GPUs.
+func TestGuestTeam(t *testing.T) {
+	s, err := config.Parse([]byte(example(t) + "\n[[deployment.teams]]\nname = \"guest\"\n\n[[deployment.teams]]\nname = \"plain\"\ncpus_max = 8.0\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	teams := s.Deployment.Teams
+	guest, plain := teams[len(teams)-2], teams[len(teams)-1]
+	if guest.CPUs != 0 || !math.IsInf(guest.CPUsMax, 1) || !math.IsInf(guest.GPUsMax, 1) {
+		t.Errorf("a guest may use %+v", guest)
+	}
+	if plain.CPUsMax != 8 || plain.GPUsMax != 0 {
+		t.Errorf("a team with a limit may use %+v", plain)
+	}
+}
+
 // What is too small to hold is named with its number, and nothing else is.
 func TestShortfalls(t *testing.T) {
 	for _, tc := range []struct{ old, new, want string }{
