--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -30,6 +30,10 @@
 // Tick does what falls due with time.
 func (l *Leader) Tick(now Now) {
 	l.now = now
+	if now.Mono-l.tickAt > tuning.StoodStill {
+		l.thawedAt = now.Mono
+		l.line(false, "this process stood still", "for_s", (now.Mono - l.tickAt).Seconds())
+	}
 	for _, m := range l.sorted() {
 		l.watchMachine(m)
 	}
@@ -283,17 +287,20 @@
 		if m.failed {
 			return "failed while starting"
 		}
-		if now-m.rentedAt > patience && now-m.knownAt > tuning.NewcomerGrace {
-			// The grace is for those that came up before our term: they report
-			// within seconds, and were given back by mistake without it.
+		if now-m.rentedAt > patience && now-max(m.knownAt, l.thawedAt) > tuning.NewcomerGrace {
+			// The grace is for those that came up before our term, or while we
+			// stood still: they report within seconds, and were given back by
+			// mistake without it.
 			return "never came up"
 		}
 		return ""
 	}
-	if m.failed && now-m.heardAt > l.cfg.Report*2 {
+	// Silence while this process stood still is not theirs: what they sent has yet
+	// to be read, or went elsewhere.
+	quiet := now - max(m.heardAt, l.thawedAt)
+	if m.failed && quiet > l.cfg.Report*2 {
 		return "failed"
 	}
-	quiet := now - m.heardAt
 	if silentZone[m.zone] {
 		return l.zoneReason(m, quiet)
 	}
@@ -309,7 +316,7 @@
 		// be old. So this proves nothing: the answer to the release does.
 		return "silent and no longer listed"
 	}
-	if m.deafSince > 0 && now-m.deafSince > l.cfg.Lease {
+	if m.deafSince > 0 && now-max(m.deafSince, l.thawedAt) > l.cfg.Lease {
 		return "nothing reaches it"
 	}
 	if quiet > l.cfg.Lease-tuning.ReleaseAhead {
@@ -633,12 +640,13 @@
 	var coming []*slot
 	perZone := map[string]int{}
 	count := 0
+	late := l.lateBoots()
 	for _, m := range l.sorted() {
 		if m.phase != releasing {
 			perZone[m.zone]++
 			count++
 		}
-		if m.phase == booting && !m.failed && m.mt != nil {
+		if m.phase == booting && !m.failed && m.mt != nil && !late[m] {
 			coming = append(coming, newSlot(m.mt, m.zone, m.spot))
 		}
 	}
@@ -717,6 +725,29 @@
 	}
 }
 
+// lateBoots are the machines that may never come up: they are replaced at once, and
+// given back when their patience is over. Not where more are late than came up of
+// those rented in the same time: then boots are slow everywhere, more of them would
+// be as late, and renting would not end.
+func (l *Leader) lateBoots() map[*machine]bool {
+	late, came := map[*machine]bool{}, 0
+	for _, m := range l.machines {
+		boot := l.bootTime(m.typ)
+		age := l.now.Mono - m.rentedAt
+		switch {
+		case age < boot*tuning.BootLate/100 || age > 4*boot:
+		case m.phase == booting && !m.failed:
+			late[m] = true
+		case m.phase == up && m.ours:
+			came++
+		}
+	}
+	if len(late) > came {
+		return nil
+	}
+	return late
+}
+
 func (l *Leader) order(o offer, n int) {
 	l.nextHire++
 	// The term makes the name unlike any other leader's, the counter unlike
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -238,7 +238,8 @@
 	seenRunS float64 // the time that these ran, in seconds
 
 	hope    int     // which of its deadlines it can still meet, as of the last round
-	overdue bool    // nothing of it was begun for long
+	begun   bool    // some task of it has come to stay
+	overdue bool    // nothing of it has begun for long
 	old     bool    // has missed all its deadlines, long ago
 	within  bool    // inside its team's guarantee, as of the last round
 	slack   float64 // seconds until it is due, as of the last round
@@ -316,6 +317,7 @@
 	zoneBack   map[string]time.Duration // when a zone was last silent as a whole
 	heldTo     time.Duration            // until then the lead is ours for certain
 	tickAt     time.Duration            // last tick
+	thawedAt   time.Duration            // when this process last went on after it stood still
 	alone      time.Duration            // for how long ticks have found that no worker was heard
 	startedAt  time.Duration
 	tombs      []string        // keys to delete when there is time
@@ -622,6 +624,16 @@
 	l.JobsChanged(now, touched)
 }
 
+// Cancelled tells the leader of jobs that are durably cancelled, ahead of the watch.
+func (l *Leader) Cancelled(now Now, ids []string) {
+	l.now = now
+	for _, id := range ids {
+		if j := l.jobs[id]; j != nil && !j.cancelled && !j.archived {
+			l.cancelJob(j)
+		}
+	}
+}
+
 func (l *Leader) cancelJob(j *job) {
 	j.cancelled = true
 	l.dirtyPlace = true
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -102,13 +102,20 @@
 			j.why = "a record that may be about it cannot be read"
 			continue
 		}
+		if j.doubtful() {
+			// It is tried with one task at a time until one stays.
+			if n = min(n, 1-j.nActive); n <= 0 {
+				j.why = "it has failed on every machine so far"
+				continue
+			}
+		}
 		budget := l.teamRoom(j, promised[j.spec.Team])
 		if budget < n {
 			l.yieldTeam(j, n)
 		}
 		tries := min(n, budget)
 		if j.overdue && tries > 0 && !j.spec.Gang() {
-			tries = min(tries, max(1, j.spec.Tasks/tuning.BeginPart))
+			tries = min(tries, l.beginWith(j, total))
 		} else if j.old {
 			tries = min(tries, int(max(0, r.oldRoom)/max(j.spec.CPUs, 0.1)))
 			r.oldRoom -= float64(tries) * j.spec.CPUs
@@ -240,7 +247,8 @@
 	}
 	// Fetches side by side share the machine's rate: one after the other, the
 	// first is there sooner and the last no later.
-	return j.service || m.has(j.spec.Image) || !m.fetchingOther(j.spec.Image)
+	return (j.service || m.has(j.spec.Image) || !m.fetchingOther(j.spec.Image)) &&
+		len(m.tasks)+len(m.exited) < tuning.MachineTasks
 }
 
 // next gives the best machine, or nil. Scores only grow as tasks are placed, so
@@ -418,6 +426,10 @@
 		if j.cancelled || j.archived {
 			continue
 		}
+		// What nothing has begun of for long gets its first tasks, whatever comes
+		// after it: the order by deadlines alone gives up the largest first, and
+		// under lasting overload again and again.
+		j.overdue = !j.service && l.now.Mono-j.created > tuning.BeginBy && !l.hasBegun(j) && !j.doubtful()
 		teams[j.spec.Team] = append(teams[j.spec.Team], j)
 		if j.pending() > 0 && l.now.Mono >= j.retryAt {
 			out = append(out, j)
@@ -442,14 +454,9 @@
 	}
 	l.planDeadlines()
 	for _, j := range out {
-		// What nothing has been begun of for long gets its first tasks, whatever
-		// comes after it: the order by deadlines alone gives up the largest first,
-		// and under lasting overload again and again.
-		age := l.now.Mono - j.created
-		j.overdue = !j.service && j.nActive == 0 && j.nDone == 0 && age > tuning.BeginBy
-		// And what misses all its deadlines is finished all the same, with a
-		// share of the cluster if nothing else is left to it for long.
-		j.old = !j.service && j.hopeless() && age > tuning.OldAfter
+		// What misses all its deadlines is finished all the same, with a share of
+		// the cluster if nothing else is left to it for long.
+		j.old = !j.service && j.hopeless() && l.now.Mono-j.created > tuning.OldAfter
 		j.slack = math.Inf(1) // without a deadline, after those that have one
 		if len(j.dues) > 0 {
 			j.slack = l.due(j)
@@ -485,6 +492,45 @@
 	return out
 }
 
+// doubtful reports whether the job seems to be submitted with a mistake: it has failed
+// on several machines and never come to stay on any. A faulty machine fails others'
+// work too, and the job's own work succeeds elsewhere.
+func (j *job) doubtful() bool {
+	return !j.begun && j.nDone == 0 && len(j.failedOn) >= tuning.JobSuspectMachines
+}
+
+// hasBegun reports whether something of the job has come to stay: a task that is
+// stopped again within seconds is no beginning. Idle work of a guest would otherwise
+// begin again and again, each time for a moment.
+func (l *Leader) hasBegun(j *job) bool {
+	if j.begun || j.nDone > 0 {
+		return true
+	}
+	for _, list := range j.active {
+		for _, a := range list {
+			if a.runningAt > 0 && !a.halt && l.now.Mono-a.runningAt >= tuning.BegunAfter {
+				j.begun = true
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// beginWith is how many more tasks a job that is overdue gets ahead of others: a
+// part of the job, and of the cluster where these are beyond its team's guarantee.
+func (l *Leader) beginWith(j *job, total float64) int {
+	n := max(1, j.spec.Tasks/tuning.BeginPart)
+	if !j.within && j.spec.CPUs > 0 {
+		n = min(n, max(1, int(total*tuning.BeginShare/j.spec.CPUs)))
+	}
+	return max(0, n-j.nActive)
+}
+
+// beginning reports whether the attempt is of a job that is overdue: what got its
+// first tasks ahead of others keeps them until it has begun.
+func (a *attempt) beginning() bool { return a.job != nil && a.job.overdue }
+
 // class orders jobs of the same standing: on time within the guarantee, on time
 // beyond it, late within it, late beyond it.
 func (j *job) class() int {
@@ -718,6 +764,9 @@
 	if v == nil || v == j || a.halt || a.sent && !a.seen {
 		return false // the last: its start is on its way, and soon acknowledged
 	}
+	if a.beginning() && j.rank > 0 {
+		return false
+	}
 	if v.rank > j.rank {
 		return true
 	}
@@ -809,6 +858,9 @@
 		}
 		sort.Slice(victims, func(a, b int) bool {
 			x, y := victims[a], victims[b]
+			if bx, by := x.beginning(), y.beginning(); bx != by {
+				return by
+			}
 			if x.job.rank != y.job.rank {
 				return x.job.rank > y.job.rank
 			}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -360,16 +360,7 @@
 		j.failures++
 		j.failedOn[m.name] = true
 		l.backoff(j)
-		// A job that fails wherever it runs says nothing about machines.
-		if len(j.failedOn) < tuning.JobSuspectMachines {
-			m.failedBy[j.id] = true
-			if len(m.failedBy) >= tuning.SuspectJobs {
-				if m.suspect < l.now.Mono {
-					l.line(false, "machine avoided: unrelated jobs fail there", "machine", m.name)
-				}
-				m.suspect = l.now.Mono + tuning.SuspectFor
-			}
-		}
+		l.blame(m, j)
 	case wire.CauseUnknown:
 		j.failures++
 		l.backoff(j)
@@ -378,6 +369,31 @@
 	}
 }
 
+// blame tells faulty machines from jobs that were submitted with a mistake, by who
+// fails where: a machine on which several jobs fail is avoided, and a job that fails
+// wherever it runs says nothing about machines, those that it was held against
+// before included.
+func (l *Leader) blame(m *machine, j *job) {
+	if !j.doubtful() {
+		m.failedBy[j.id] = true
+		if len(m.failedBy) >= tuning.SuspectJobs {
+			if m.suspect < l.now.Mono {
+				l.line(false, "machine avoided: unrelated jobs fail there", "machine", m.name)
+			}
+			m.suspect = l.now.Mono + tuning.SuspectFor
+		}
+		return
+	}
+	for name := range j.failedOn {
+		if other := l.machines[name]; other != nil && other.failedBy[j.id] {
+			delete(other.failedBy, j.id)
+			if len(other.failedBy) < tuning.SuspectJobs {
+				other.suspect = 0
+			}
+		}
+	}
+}
+
 func (l *Leader) backoff(j *job) {
 	d := l.cfg.Policy.ErrorMax
 	if j.failures < 20 {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -26,9 +26,14 @@
 	Leader string `cbor:"leader,omitempty"`
 	Term   uint64 `cbor:"term,omitempty"`
 	Served bool   `cbor:"served,omitempty"` // by the state service, lately
+	// Have is up to where the sender has the list of cancellations that users were
+	// told of at the receiver, in the process that HaveBoot names.
+	Have     uint64 `cbor:"have,omitempty"`
+	HaveBoot uint64 `cbor:"have_boot,omitempty"`
 }
 
-// Pong answers a ping. Running is sent by the leader, for display elsewhere.
+// Pong answers a ping. Running is sent by the leader, for display elsewhere. Told
+// continues the list of cancellations: entries From+1 to From+len(Told).
 type Pong struct {
 	Node    string         `cbor:"node"`
 	Boot    uint64         `cbor:"boot"`
@@ -36,6 +41,11 @@
 	Term    uint64         `cbor:"term,omitempty"`
 	Served  bool           `cbor:"served,omitempty"`
 	Running map[string]int `cbor:"running,omitempty"`
+
+	AsOfMilli int64    `cbor:"as_of_ms,omitempty"` // how old the sender's knowledge of cancellations is
+	UpMilli   int64    `cbor:"up_ms,omitempty"`    // for how long the sender has run
+	From      uint64   `cbor:"from,omitempty"`
+	Told      []string `cbor:"told,omitempty"`
 }
 
 // Kinds of forwarded requests.
--- /dev/null
+++ b/internal/node/asof.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"slices"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/mesh"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+)
+
+// told lists of which cancellations users were told here, each once. A leader that
+// the state service does not serve learns of them by its pings, and may keep workers
+// alive through an outage that is longer than the time for a cancellation.
+type told struct {
+	cut  uint64 // entries that are no longer kept
+	list []string
+}
+
+func (t *told) add(id string) {
+	if slices.Contains(t.list, id) {
+		return
+	}
+	t.list = append(t.list, id)
+	if over := len(t.list) - tuning.ToldKept; over > 0 {
+		t.cut += uint64(over)
+		t.list = append([]string(nil), t.list[over:]...)
+	}
+}
+
+// after gives the entries after the first have, or those still kept.
+func (t *told) after(have uint64) (from uint64, ids []string) {
+	from = min(max(have, t.cut), t.cut+uint64(len(t.list)))
+	return from, t.list[from-t.cut:]
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// cancelled takes note of a job that is durably cancelled and whose user is told
+// right after this. Called with the lock held.
+func (n *Node) cancelled(id string) {
+	n.told.add(id)
+	if n.leader != nil {
+		n.leader.Cancelled(n.now(), []string{id})
+	}
+}
+
+// vouches takes a peer's list of cancellations, asked for at asked. What an earlier
+// process of the peer told, or entries that are no longer kept, the list has not: it
+// counts only for whoever knows by the state service what was before.
+func (p *peer) vouches(pong mesh.Pong, asked, now time.Time) {
+	if pong.Boot != p.boot {
+		p.boot, p.have = pong.Boot, 0
+		p.begun = now.Add(-time.Duration(pong.UpMilli) * time.Millisecond)
+	}
+	if pong.From > p.have {
+		p.begun = now
+	}
+	p.have = pong.From + uint64(len(pong.Told))
+	p.vouched = later(p.vouched, asked)
+}
+
+// asOf is the moment as of which this node knows of every cancellation that users
+// were told of: by the state service, or because every peer has listed its own
+// since then. Called with the lock held.
+func (n *Node) asOf() time.Time {
+	vouched := time.Now()
+	for _, p := range n.peers {
+		if !p.begun.Before(n.knownAt) {
+			return n.knownAt
+		}
+		if p.vouched.Before(vouched) {
+			vouched = p.vouched
+		}
+	}
+	return later(n.knownAt, vouched)
+}
+
+// entitled reports whether the leader may renew its workers' leases: for no longer
+// after that moment than leaves time for a cancellation it does not know of. It
+// holds whatever became of the process meanwhile, and whoever else leads.
+// Called with the lock held.
+func (n *Node) entitled() bool { return time.Since(n.asOf()) < n.KeepaliveBound() }
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -196,6 +196,7 @@
 		var bits, records, earlier, jobs []wire.Item
 		var epoch uint64
 		var errs [4]error
+		begun := time.Now()
 		var wg sync.WaitGroup
 		wg.Go(func() { bits, _, errs[0] = n.state.All(ctx, store.First, store.BitsPrefix) })
 		wg.Go(func() { records, _, errs[1] = n.state.All(ctx, store.First, store.BatchPrefix) })
@@ -223,7 +224,12 @@
 			if epoch >= n.replica.Epoch {
 				n.reportBad(n.replica.Reset(jobs, epoch))
 			}
+			n.knownAt = later(n.knownAt, begun)
 			leader = core.NewLeader(n.now(), n.coreSettings(), term, n.replica, bits, append(records, earlier...), n.types)
+			for _, p := range n.peers {
+				// What came of their lists while nobody here led is gone: all again.
+				p.have, p.vouched = 0, time.Time{}
+			}
 			leader.AckLatency = func(d time.Duration) { _ = n.ack.RecordValue(min(max(1, d.Milliseconds()), 600_000)) }
 			leader.Held(n.heldTo.Sub(n.start))
 			for _, p := range n.peers {
@@ -275,6 +281,7 @@
 		n.mu.Lock()
 		from := n.replica.Epoch
 		n.mu.Unlock()
+		begun := time.Now()
 		c, err := n.state.Changes(ctx, store.First, store.JobsPrefix, from, tuning.WatchBlock)
 		switch {
 		case errors.Is(err, store.ErrTooOld):
@@ -283,14 +290,16 @@
 			n.trouble("watch", err)
 			sleep(ctx, jitter(tuning.StateRetry))
 		default:
-			n.applyChanges(c)
+			n.applyChanges(c, begun)
 			sleep(ctx, tuning.WatchGap)
 		}
 	}
 }
 
-func (n *Node) applyChanges(c wire.Changes) {
+// applyChanges takes an answer to a question sent at begun.
+func (n *Node) applyChanges(c wire.Changes, begun time.Time) {
 	n.do(func() {
+		n.knownAt = later(n.knownAt, begun)
 		touched, bad := n.replica.Apply(c)
 		n.reportBad(bad)
 		if n.leader != nil && len(touched) > 0 {
@@ -301,6 +310,7 @@
 
 // reload reads all live jobs again.
 func (n *Node) reload(ctx context.Context) error {
+	begun := time.Now()
 	items, epoch, err := n.state.All(ctx, store.Second, store.JobPrefix)
 	if err != nil {
 		return err
@@ -309,6 +319,7 @@
 		if epoch < n.replica.Epoch {
 			return
 		}
+		n.knownAt = later(n.knownAt, begun)
 		n.reportBad(n.replica.Reset(items, epoch))
 		if n.leader != nil {
 			n.leader.JobsReset(n.now(), n.replica)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,9 @@
 	barred   time.Time // no candidate until then
 	peers    map[string]*peer
 	without  func() time.Duration // for how long the state service has not served us
-	led      time.Time            // when the lead last worked, as far as this node can tell
+	led      time.Time            // as of when the leader knew all cancellations, as far as this node can tell
+	knownAt  time.Time            // as of when the replica has all changes
+	told     told
 	settling bool
 	totals   core.Counters // of earlier terms
 	ack      *hdrhistogram.Histogram
@@ -81,7 +83,11 @@
 
 type peer struct {
 	config.Peer
-	heard   time.Time
+	heard   time.Time // when it was last asked and answered, or asked us
+	boot    uint64    // its process
+	have    uint64    // up to where we have that process's list of cancellations
+	begun   time.Time // the list has all that it told since then
+	vouched time.Time // as of when we have the list, see asOf
 	served  bool      // by the state service, when it was last heard
 	refused time.Time // last time that it refused a connection
 	unable  time.Time // last time that it could not decide a request passed on
@@ -188,12 +194,14 @@
 			}
 			if n.cutOff() {
 				// Whoever leads by now cannot tell us, and our workers would
-				// stay with us. In an outage that every node has, their leases
-				// are kept as followers keep them.
-				n.led = time.Now().Add(-n.without())
+				// stay with us. Their leases are kept as followers keep them.
 				n.stepDown(n.leader, "cut off from the state service and most peers")
 				return
 			}
+			if !n.entitled() {
+				n.stepDown(n.leader, "cancellations may have passed it by for too long")
+				return
+			}
 			n.leader.Tick(n.now())
 		})
 	}
@@ -205,8 +213,7 @@
 // cutOff reports whether this node, and those that it still hears, if any, may be on
 // the wrong side of a cut: the state service has served none of them for a while,
 // and they are no more than half of all. More of them without it are rather an
-// outage; but unless all are heard, others may lead and cancel jobs outside, so
-// that holds only for as long as workers may be kept alive.
+// outage, in which the leader goes on for as long as it is entitled to.
 // Called with the lock held.
 func (n *Node) cutOff() bool {
 	if len(n.peers) == 0 || n.served() {
@@ -221,8 +228,7 @@
 			near++
 		}
 	}
-	all := 1 + len(n.peers)
-	return 2*near <= all || near < all && n.without() > n.KeepaliveBound()
+	return 2*near <= 1+len(n.peers)
 }
 
 // Healthy reports whether users had better come here than elsewhere: unless cut
@@ -350,6 +356,7 @@
 		return
 	}
 	n.log.Info("lead given up", "term", n.lead.term, "why", why)
+	n.led = n.asOf()
 	n.endTerm()
 	n.lead.name = ""
 	if why == core.Lonely {
@@ -494,7 +501,9 @@
 			defer wg.Done()
 			for sleep(ctx, jitter(tuning.PeerEvery)) {
 				n.mu.Lock()
-				ping := mesh.Ping{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term, Served: n.served()}
+				begun := time.Now()
+				ping := mesh.Ping{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term, Served: n.served(),
+					Have: p.have, HaveBoot: p.boot}
 				n.mu.Unlock()
 				pong, err := n.mesh.Ping(ctx, p.Addr, ping)
 				if errors.Is(err, syscall.ECONNREFUSED) {
@@ -504,9 +513,17 @@
 					continue
 				}
 				n.do(func() {
-					p.heard, p.served = time.Now(), pong.Served
-					if p.Name == n.lead.name && pong.Leader == p.Name && pong.Served {
-						n.led = p.heard
+					// As of when we asked: a process that stood still since then
+					// would take an old answer for a new one.
+					if begun.After(p.heard) {
+						p.heard, p.served = begun, pong.Served
+					}
+					if p.Name == n.lead.name && pong.Leader == p.Name && pong.Term == n.lead.term {
+						n.led = later(n.led, begun.Add(-time.Duration(pong.AsOfMilli)*time.Millisecond))
+					}
+					p.vouches(pong, begun, time.Now())
+					if n.leader != nil && len(pong.Told) > 0 {
+						n.leader.Cancelled(n.now(), pong.Told)
 					}
 					p.running = pong.Running
 					n.hearLead(pong.Leader, pong.Term)
@@ -550,7 +567,12 @@
 			q.heard, q.served = time.Now(), p.Served
 		}
 		n.hearLead(p.Leader, p.Term)
-		out = mesh.Pong{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term, Served: n.served()}
+		out = mesh.Pong{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term, Served: n.served(),
+			AsOfMilli: min(time.Since(n.asOf()), time.Hour).Milliseconds() + 1, UpMilli: time.Since(n.start).Milliseconds()}
+		if p.HaveBoot != n.boot {
+			p.Have = 0
+		}
+		out.From, out.Told = n.told.after(p.Have)
 		if n.leader != nil {
 			out.Running = n.leader.Running()
 		}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -87,6 +87,7 @@
 	if !loaded {
 		return n.reload(ctx)
 	}
+	begun := time.Now()
 	c, err := n.state.Changes(ctx, store.Second, store.JobsPrefix, from, 0)
 	if errors.Is(err, store.ErrTooOld) {
 		return n.reload(ctx)
@@ -94,14 +95,21 @@
 	if err != nil {
 		return err
 	}
-	n.applyChanges(c)
+	n.applyChanges(c, begun)
 	return nil
 }
 
-// follow keeps a follower's replica from falling behind what watches reach.
+// follow keeps a follower's replica from falling behind what watches reach, and
+// the leader's as fresh as its right to answer workers asks for.
 func (n *Node) follow(ctx context.Context) {
-	for sleep(ctx, jitter(tuning.FollowEvery)) {
+	for pause := tuning.FollowEvery; sleep(ctx, jitter(pause)); {
 		_ = n.fresh(ctx) // failing that, the next round or a poll will do
+		pause = tuning.FollowEvery
+		n.mu.Lock()
+		if n.leader != nil {
+			pause = tuning.LeaderFresh
+		}
+		n.mu.Unlock()
 	}
 }
 
@@ -164,6 +172,7 @@
 		v.Running = p.running[id]
 	}
 	if live.Record.Cancelled {
+		n.cancelled(id)
 		v.State, v.Running = wire.JobCancelled, 0
 	} else if v.Running > 0 {
 		v.State = wire.JobRunning
@@ -407,6 +416,7 @@
 		})
 		switch {
 		case err == nil:
+			n.do(func() { n.cancelled(id) })
 			return state(wire.JobCancelled)
 		case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrUnknown) && ctx.Err() == nil:
 			continue // read again: it moved on, or our own write went through
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -22,12 +22,14 @@
 func (n *Node) Checkin(r *wire.Report) WorkerAnswer {
 	var out WorkerAnswer
 	n.do(func() {
-		if n.leader != nil {
+		if n.leader != nil && n.entitled() {
 			reply, ok := n.leader.Checkin(n.now(), r)
 			if ok {
 				out = WorkerAnswer{Status: http.StatusOK, Reply: reply}
 				return
 			}
+		}
+		if n.leader != nil {
 			out.Status = http.StatusServiceUnavailable
 			return
 		}
@@ -60,8 +62,8 @@
 	return WorkerAnswer{Status: http.StatusServiceUnavailable}
 }
 
-// KeepaliveBound is for how long after the lead was last known to work (see led)
-// a follower may keep workers alive: a job may have been cancelled right after,
+// KeepaliveBound is for how long after the leader last knew all cancellations (see
+// led and asOf) workers may be kept alive: a job may have been cancelled right after,
 // and the worker's lease has to run out before the time for that is over. It does
 // not count from the worker's first report here, which in a cut comes only after
 // it has tried other nodes in vain, and where reports are rare much later.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -57,7 +57,11 @@
 	at    time.Time
 	rate  float64
 
-	served, failed atomic.Int64 // when the service last answered, and last did not, in Unix nanoseconds
+	// When the last request that the service answered was sent, and the last that it
+	// did not, in nanoseconds since epoch. Not when the answer was read: a process
+	// that stood still reads answers of long ago.
+	epoch          time.Time
+	served, failed atomic.Int64
 }
 
 // New makes a client for the service at addr; rps is the request rate that
@@ -68,7 +72,7 @@
 		rpc:   rpc.New(tuning.StateConns, tuning.StateConns, tuning.StateTimeout, 8<<20),
 		level: rps, rate: rps, at: time.Now(),
 	}
-	c.served.Store(time.Now().UnixNano())
+	c.epoch = c.at
 	return c
 }
 
@@ -79,7 +83,17 @@
 	if failed <= served {
 		return 0
 	}
-	return time.Duration(time.Now().UnixNano() - served)
+	return time.Since(c.epoch) - time.Duration(served)
+}
+
+// raise notes a moment, unless a later one is noted.
+func (c *Client) raise(to *atomic.Int64, at time.Time) {
+	for now := int64(at.Sub(c.epoch)); ; {
+		was := to.Load()
+		if now <= was || to.CompareAndSwap(was, now) {
+			return
+		}
+	}
 }
 
 // take asks the node's own budget for one request. The first rank always gets
@@ -104,16 +118,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	begun := time.Now()
 	code, err := c.rpc.Call(ctx, method, c.base+path, in, out)
 	if err != nil {
-		c.failed.Store(time.Now().UnixNano())
+		c.raise(&c.failed, begun)
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
 	}
 	if code == http.StatusServiceUnavailable {
-		c.failed.Store(time.Now().UnixNano())
+		c.raise(&c.failed, begun)
 		return code, ErrRefused
 	}
-	c.served.Store(time.Now().UnixNano())
+	c.raise(&c.served, begun)
 	switch code {
 	case http.StatusTooManyRequests:
 		return code, ErrLimited
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -47,6 +47,12 @@
 	// FollowEvery is how often a follower reads changes without being asked,
 	// so that it never falls behind the 10,000 that the service keeps.
 	FollowEvery = 5 * time.Second
+	// LeaderFresh is the same for the leader: its right to answer workers counts from
+	// the last such read, and a zone that is cut off is kept alive for as much less.
+	LeaderFresh = 1 * time.Second
+	// ToldKept is how many of the cancellations that users were told of here a node
+	// can list to a leader that the state service does not serve.
+	ToldKept = 1000
 	// StateRetry is the pause after a refusal or a lost answer.
 	StateRetry = 250 * time.Millisecond
 	// ReadPage is the page size of a full read, in items. 512 KiB a page is the
@@ -89,6 +95,10 @@
 	// ones is written again; FoldAttempts bounds how much at a time.
 	BatchesKept  = 32
 	FoldAttempts = 100
+	// MachineTasks is how many tasks a machine may have to list, ended ones that it
+	// has not been told to forget included: a report and its answer, at some hundred
+	// bytes a task, have to stay under the protocol's 64 KiB.
+	MachineTasks = 400
 	// ImagesRecorded is how many of a machine's images are recorded with it.
 	ImagesRecorded = 6
 	// DoneFlush is how long done tasks of an unfinished job may wait for their
@@ -123,8 +133,8 @@
 	// it counts as faulty, and SuspectFor how long it is then avoided.
 	SuspectJobs = 2
 	SuspectFor  = 5 * time.Minute
-	// JobSuspectMachines is how many machines a job fails on before its
-	// failures say nothing about machines any more.
+	// JobSuspectMachines is on how many machines a job that never came to stay has
+	// to fail before it, and not they, counts as faulty.
 	JobSuspectMachines = 3
 	// RefusalPause keeps a machine from new starts after it refused one as
 	// full: its picture and ours differ until its next report.
@@ -155,6 +165,11 @@
 	// Its users are promised that the largest begin within four minutes.
 	BeginBy   = 90 * time.Second
 	BeginPart = 10
+	// BegunAfter is how long a task has to run for its job to have begun: users count
+	// a start that no command undoes within 30 s. BeginShare is the share of the
+	// cluster that a job gets for that beyond its team's guarantee.
+	BegunAfter = 35 * time.Second
+	BeginShare = 0.02
 	// TightCost is what a stop costs beside the work lost, in CPU seconds, if the
 	// task's job will be late for it: as much as a large task's whole run.
 	TightCost = 100
@@ -218,6 +233,9 @@
 	// some machines take several times as long.
 	BootPatience    = 3.0
 	BootPatienceMin = 60 * time.Second
+	// BootLate is from which part of its usual boot time on, in percent, a machine is
+	// late: most take up to one and a half times as long.
+	BootLate = 160
 	// NewcomerGrace is how long a new leader waits for the report of a machine
 	// that, by its age, should have come up before.
 	NewcomerGrace = 20 * time.Second
@@ -277,6 +295,9 @@
 	// TickEvery is the pace of the leader's housekeeping. Everything urgent is
 	// done when its event arrives.
 	TickEvery = 200 * time.Millisecond
+	// StoodStill is how far apart two ticks have to be for the process to have stood
+	// still: a busy one falls behind by less.
+	StoodStill = 1500 * time.Millisecond
 	// LoadLine is the interval of the line on the cluster's load, at debug.
 	LoadLine = 10 * time.Second
 	// PlaceGap is the least time between two placement rounds, to batch
