--- a/internal/node/asof.go
+++ b/internal/node/asof.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/mesh"
@@ -14,16 +13,22 @@
 type told struct {
 	cut  uint64 // entries that are no longer kept
 	list []string
+	has  map[string]struct{} // those in the list
 }
 
 func (t *told) add(id string) {
-	if slices.Contains(t.list, id) {
+	if _, ok := t.has[id]; ok {
 		return
 	}
+	if t.has == nil {
+		t.has = map[string]struct{}{}
+	}
+	t.has[id] = struct{}{}
 	t.list = append(t.list, id)
-	if over := len(t.list) - tuning.ToldKept; over > 0 {
-		t.cut += uint64(over)
-		t.list = append([]string(nil), t.list[over:]...)
+	if len(t.list) > tuning.ToldKept {
+		delete(t.has, t.list[0])
+		t.list = t.list[1:] // append moves the rest when the room behind it is used up
+		t.cut++
 	}
 }
 
--- /dev/null
+++ b/internal/node/asof_test.go
@@ -0,0 +1,131 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/yarrowgap/yarrowgap/internal/config"
+	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/mesh"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// Whatever users are told where, and whichever peers end, start anew or forget the
+// oldest they told: of every cancellation that was told before the moment as of which
+// a node counts itself as knowing, it does know. On that rests for how long a leader
+// that the state service does not serve keeps workers alive.
+func TestKnowledge(t *testing.T) {
+	quiet := quietNode(t)
+	rapid.Check(t, func(t *rapid.T) {
+		n := quiet
+		n.knownAt, n.peers = time.Time{}, map[string]*peer{}
+		type remote struct {
+			told told
+			boot uint64
+			born time.Time
+		}
+		now := time.Now().Add(-time.Hour)
+		boots, jobs := uint64(0), 0
+		at, knows := map[string]time.Time{}, map[string]bool{}
+		pass := func() {
+			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+		}
+		remotes := make([]*remote, 3)
+		for i := range remotes {
+			boots++
+			remotes[i] = &remote{boot: boots, born: now}
+			n.peers[fmt.Sprint(i)] = &peer{Peer: config.Peer{Name: fmt.Sprint(i)}}
+		}
+		pick := func() (*remote, *peer) {
+			i := rapid.IntRange(0, len(remotes)-1).Draw(t, "peer")
+			return remotes[i], n.peers[fmt.Sprint(i)]
+		}
+		tell := func(r *remote, count int) {
+			for range count {
+				jobs++
+				id := fmt.Sprintf("run-%06d", jobs)
+				r.told.add(id)
+				at[id] = now
+			}
+		}
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			pass()
+			r, p := pick()
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0, 1:
+				tell(r, 1)
+			case 2:
+				boots++
+				*r = remote{boot: boots, born: now}
+			case 3:
+				tell(r, tuning.ToldKept+1)
+			case 4:
+				n.knownAt = now
+				for id := range at {
+					knows[id] = true
+				}
+			default:
+				asked, have := now, p.have
+				pass() // the question is on its way
+				if r.boot != p.boot {
+					have = 0
+				}
+				pong := mesh.Pong{Boot: r.boot, UpMilli: now.Sub(r.born).Milliseconds()}
+				pong.From, pong.Told = r.told.after(have)
+				pong.Told = append([]string(nil), pong.Told...)
+				if rapid.Bool().Draw(t, "tells meanwhile") {
+					tell(r, 1)
+				}
+				pass() // and its answer
+				p.vouches(pong, asked, now)
+				for _, id := range pong.Told {
+					knows[id] = true
+				}
+			}
+			for id, when := range at {
+				if when.Before(n.asOf()) && !knows[id] {
+					t.Fatalf("%s was told %v before the moment as of which all is known", id, n.asOf().Sub(when))
+				}
+			}
+		}
+	})
+}
+
+// A leader that may have missed cancellations for longer than leaves time for one
+// answers no worker, whatever it thinks of its lease: it may have stood still, or
+// everybody may be refused by the state service. With all peers' lists it goes on.
+func TestLeaderAnswersAsLongAsItKnows(t *testing.T) {
+	n := quietNode(t)
+	n.peers = map[string]*peer{"drover-1": {}, "drover-2": {}}
+	n.leader, n.lost = core.NewLeader(n.now(), n.coreSettings(), 9, core.NewReplica(), nil, nil, nil), make(chan struct{})
+	r := &wire.Report{Machine: "n-1", Address: "127.0.0.1:1", Type: "box", Zone: "a", Session: 1, Tick: 1}
+	answered := func() bool {
+		r.Tick++
+		return n.Checkin(r).Status == 200
+	}
+	n.knownAt = time.Now()
+	if !answered() {
+		t.Error("not answered by a leader that knows all")
+	}
+	n.knownAt = time.Now().Add(-n.KeepaliveBound())
+	if answered() {
+		t.Error("answered by a leader that may have missed a cancellation")
+	}
+	for _, p := range n.peers {
+		p.begun, p.vouched = n.knownAt.Add(-time.Minute), time.Now()
+	}
+	if !answered() {
+		t.Error("not answered though every peer has listed what it told")
+	}
+	for _, p := range n.peers {
+		p.begun = n.knownAt.Add(time.Second) // it has started anew: who knows what it told before
+		break
+	}
+	if answered() {
+		t.Error("answered though a peer has started anew")
+	}
+}
