--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -24,6 +24,7 @@
 	Live   map[string]*LiveJob
 	ended  map[string]*list.Element
 	order  *list.List // of endedEntry, the most recently used first
+	absent map[string]bool
 }
 
 type endedEntry struct {
@@ -33,12 +34,13 @@
 
 // NewReplica makes an empty copy, which knows nothing until Reset.
 func NewReplica() *Replica {
-	return &Replica{Live: map[string]*LiveJob{}, ended: map[string]*list.Element{}, order: list.New()}
+	return &Replica{Live: map[string]*LiveJob{}, ended: map[string]*list.Element{}, order: list.New(), absent: map[string]bool{}}
 }
 
 // Reset replaces the live jobs by a full read made at epoch. Ended jobs stay:
 // their state never changes.
 func (r *Replica) Reset(items []wire.Item, epoch uint64) (bad []string) {
+	clear(r.absent) // changes were passed over
 	r.Live = make(map[string]*LiveJob, len(items))
 	for _, it := range items {
 		rec, err := store.DecodeJob(it)
@@ -74,6 +76,7 @@
 			}
 			lj := &LiveJob{Record: rec, Stamp: e.Stamp}
 			r.Live[rec.Job.ID] = lj
+			delete(r.absent, rec.Job.ID)
 			touched = append(touched, Changed{rec.Job.ID, lj})
 		case strings.HasPrefix(e.Set, store.EndedPrefix):
 			var rec store.EndedRecord
@@ -92,8 +95,23 @@
 	return touched, bad
 }
 
+// Missing notes that there is no ended job of the id, by a read sent after the copy
+// was brought up to date. Until a change makes one, neither is there a live one.
+func (r *Replica) Missing(id string) {
+	if len(r.absent) >= tuning.JobsCached {
+		clear(r.absent)
+	}
+	if _, ended := r.ended[id]; !ended && r.Live[id] == nil {
+		r.absent[id] = true
+	}
+}
+
+// Absent reports whether there is no job of the id, as of the copy's epoch.
+func (r *Replica) Absent(id string) bool { return r.absent[id] }
+
 // Remember notes how a job ended.
 func (r *Replica) Remember(id string, rec store.EndedRecord) {
+	delete(r.absent, id)
 	if el, ok := r.ended[id]; ok {
 		r.order.MoveToFront(el)
 		return
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -189,6 +189,35 @@
 	}
 }
 
+// That there is no job of an id costs one read, until a change makes one: questions
+// about jobs that nobody submitted must not cost the state service a read each.
+func TestReplicaKnowsWhatIsMissing(t *testing.T) {
+	raw, err := wire.Marshal(store.JobRecord{Job: wire.Job{ID: "run-000001", Tasks: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := wire.LogEntry{Set: store.JobKey("run-000001"), Value: raw, Stamp: 11}
+	r := core.NewReplica()
+	r.Reset(nil, 10)
+	r.Missing("run-000001")
+	r.Missing("run-000002")
+	if !r.Absent("run-000001") || r.Absent("run-000003") {
+		t.Error("what is missing was not noted, or more than that")
+	}
+	r.Apply(wire.Changes{Epoch: 11, Log: []wire.LogEntry{set}})
+	if r.Absent("run-000001") || !r.Absent("run-000002") {
+		t.Error("missing though submitted")
+	}
+	r.Missing("run-000001") // by a read that was sent before the job came
+	if r.Absent("run-000001") {
+		t.Error("missing though live")
+	}
+	r.Reset(nil, 20)
+	if r.Absent("run-000002") {
+		t.Error("missing though changes were passed over")
+	}
+}
+
 // However many machines have something coming, direct calls keep within the sockets
 // that are left for them.
 func TestDirectCallsAreBounded(t *testing.T) {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -128,6 +128,7 @@
 	n.mu.Lock()
 	live := n.replica.Live[id]
 	rec, ended := n.replica.Ended(id)
+	absent := n.replica.Absent(id)
 	var v wire.JobView
 	if live != nil {
 		v = n.liveView(id, live)
@@ -139,11 +140,19 @@
 	if live != nil {
 		return v, true, nil
 	}
-	it, err := n.state.Get(ctx, store.Second, store.EndedKey(id))
+	if absent {
+		return wire.JobView{}, false, nil
+	}
+	// Once for each id, and behind what others wait for: whoever asks about many
+	// that nobody submitted must not take the reads of those that somebody did.
+	it, err := n.state.Get(ctx, store.Third, store.EndedKey(id))
 	if err != nil {
 		return wire.JobView{}, false, err
 	}
 	if it.Stamp == 0 {
+		n.mu.Lock()
+		n.replica.Missing(id)
+		n.mu.Unlock()
 		return wire.JobView{}, false, nil
 	}
 	if err := wire.Unmarshal(it.Value, &rec); err != nil {
