--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -69,7 +69,7 @@
 func New(addr string, rps float64) *Client {
 	c := &Client{
 		base:  "http://" + addr,
-		rpc:   rpc.New(tuning.StateConns, tuning.StateConns, tuning.StateTimeout, 8<<20),
+		rpc:   rpc.New(tuning.StateConns, tuning.StateConns, tuning.StateTimeout, tuning.StateAnswer),
 		level: rps, rate: rps, at: time.Now(),
 	}
 	c.epoch = c.at
@@ -258,6 +258,10 @@
 	var out wire.Changes
 	code, err := c.call(ctx, r, timeout, http.MethodGet, "/changes?"+q.Encode(), nil, &out)
 	switch {
+	case errors.Is(err, rpc.ErrTooLarge):
+		// This answer alone has no size limit. Whoever was away for thousands of
+		// changes reads the keys again, in pages; else it would never catch up.
+		return out, ErrTooOld
 	case err != nil:
 		return out, err
 	case code == http.StatusGone:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -63,6 +63,9 @@
 	// takes. What is left serves submissions at the other nodes.
 	ReadShare  = 0.5
 	WriteShare = 0.8
+	// StateAnswer bounds an answer of the state service, in bytes: pages have 512 KiB
+	// at the most, changes no limit, and a controller's memory may be 125 MB.
+	StateAnswer = 8 << 20
 	// StateConns bounds connections to the state service.
 	StateConns = 24
 	// JobsCached is how many ended jobs a node remembers to answer polls
