--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -133,7 +133,11 @@
 		}
 	}
 	if late := l.now.Mono - oldest; late > tuning.RecordsLate {
-		l.line(false, "starts wait for their records: too few changes a second", "starts", len(l.toRecord), "longest_s", late.Seconds(), "changes_a_second", l.cfg.WriteRate)
+		why := "starts wait for their records: too few changes a second"
+		if l.now.Mono < l.holdOff+tuning.StateRetry {
+			why = "starts wait for their records: the state service takes no writes"
+		}
+		l.line(false, why, "starts", len(l.toRecord), "longest_s", late.Seconds(), "changes_a_second", l.cfg.WriteRate)
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.usage)) {
 		if u := l.usage[name]; u.CPUs > 0 {
