Followers keep workers alive past a leader whose process is back but does not lead

A peer that is named leader and does not lead counts as out of reach now, and nodes tell each other the moment from which keeping alive counts. That moment is now the one as of which the leader has seen all cancellations through, and not only known them: a machine that the leader could not stop, and that came to a follower, would have been kept past the time for a cancellation. Also: a gang that missed all its deadlines waited for a share of the cluster in which it never fitted as a whole; found by the simulated world.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -205,9 +205,10 @@
 	rank    int
 
 	cancelled bool
-	archived  bool         // its live record is gone: it has ended
-	done      store.Bitmap // known to be done
-	saved     store.Bitmap // durably done
+	knewAsOf  time.Duration // cancelled: as of when we knew all cancellations before this one
+	archived  bool          // its live record is gone: it has ended
+	done      store.Bitmap  // known to be done
+	saved     store.Bitmap  // durably done
 	nDone     int
 	nSaved    int
 	dirtyAt   time.Duration
@@ -315,6 +316,7 @@
 	heardAny   time.Duration
 	zoneHeard  map[string]time.Duration // see ZoneHeard
 	zoneBack   map[string]time.Duration // when a zone was last silent as a whole
+	knewAsOf   time.Duration            // see KnowsAsOf
 	heldTo     time.Duration            // until then the lead is ours for certain
 	tickAt     time.Duration            // last tick
 	thawedAt   time.Duration            // when this process last went on after it stood still
@@ -634,8 +636,24 @@
 	}
 }
 
+// KnowsAsOf tells the leader as of when it knows of all cancellations, before it is
+// told of more.
+func (l *Leader) KnowsAsOf(at time.Duration) { l.knewAsOf = max(l.knewAsOf, at) }
+
+// SettledAsOf is the moment, at most at, as of which all cancellations are not only
+// known but seen through: nothing of the jobs is on any machine. Who keeps workers
+// alive for us counts from it, since what we could not stop may be there.
+func (l *Leader) SettledAsOf(at time.Duration) time.Duration {
+	for _, j := range l.jobs {
+		if j.cancelled && j.nActive > 0 {
+			at = min(at, j.knewAsOf)
+		}
+	}
+	return at
+}
+
 func (l *Leader) cancelJob(j *job) {
-	j.cancelled = true
+	j.cancelled, j.knewAsOf = true, l.knewAsOf
 	l.dirtyPlace = true
 	l.line(false, "job cancelled", "job", j.id, "tasks", j.nActive)
 	for _, a := range j.attempts() {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -102,7 +102,7 @@
 			j.why = "a record that may be about it cannot be read"
 			continue
 		}
-		if j.doubtful() {
+		if j.doubtful() && !j.spec.Gang() {
 			// It is tried with one task at a time until one stays.
 			if n = min(n, 1-j.nActive); n <= 0 {
 				j.why = "it has failed on every machine so far"
@@ -114,9 +114,11 @@
 			l.yieldTeam(j, n)
 		}
 		tries := min(n, budget)
-		if j.overdue && tries > 0 && !j.spec.Gang() {
+		switch {
+		case j.spec.Gang() || tries == 0: // a gang runs as a whole or not at all
+		case j.overdue:
 			tries = min(tries, l.beginWith(j, total))
-		} else if j.old {
+		case j.old:
 			tries = min(tries, int(max(0, r.oldRoom)/max(j.spec.CPUs, 0.1)))
 			r.oldRoom -= float64(tries) * j.spec.CPUs
 		}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -338,20 +338,35 @@
 	return n.alive() && n.w.now >= n.frozen && !n.w.state.Down && n.w.now >= n.refused && n.w.now >= n.cut
 }
 
-// hearPeers learns what users were told at the others, as node.vouches has it.
-func (n *simNode) hearPeers() {
+// hears reports whether the node and a peer reach each other.
+func (n *simNode) hears(p *simNode) bool {
 	w := n.w
-	if n.leader == nil || !n.alive() || w.now < n.frozen || w.now < n.cut {
-		return
+	for _, x := range []*simNode{n, p} {
+		if !x.alive() || w.now < x.frozen || w.now < x.cut {
+			return false
+		}
 	}
-	for _, p := range w.nodes {
-		if p == n || !p.alive() || w.now < p.frozen || w.now < p.cut || len(w.fate(n.name, p.name)) == 0 {
+	return p != n && w.cut[n.name] <= w.now && w.cut[p.name] <= w.now &&
+		(w.zoneOf(n.name) == w.zoneOf(p.name) || w.zoneCut[w.zoneOf(n.name)] <= w.now && w.zoneCut[w.zoneOf(p.name)] <= w.now)
+}
+
+// hearPeers learns what users were told at the others, as node.vouches has it, and
+// as of when the leader has seen cancellations through.
+func (n *simNode) hearPeers() {
+	for _, p := range n.w.nodes {
+		if !n.hears(p) {
 			continue
 		}
-		if p.born < n.known {
-			n.vouched[p] = w.now
+		if p.leader != nil && p.term >= n.ledTerm {
+			n.led, n.ledTerm = p.leader.SettledAsOf(p.asOf()), p.term
+		}
+		if n.leader != nil {
+			if p.born < n.known {
+				n.vouched[p] = n.w.now
+			}
+			n.leader.KnowsAsOf(n.asOf())
+			n.leader.Cancelled(n.w.coreNow(), p.told)
 		}
-		n.leader.Cancelled(w.coreNow(), p.told)
 	}
 	n.drain()
 }
@@ -377,7 +392,7 @@
 
 // stepDown ends a lead that is lost or given up.
 func (n *simNode) stepDown() {
-	n.led, n.leader = n.asOf(), nil
+	n.led, n.leader = n.leader.SettledAsOf(n.asOf()), nil
 }
 
 func (n *simNode) crash(d time.Duration) {
@@ -450,6 +465,7 @@
 	if !ok {
 		panic("the stand-in forgot changes")
 	}
+	n.leader.KnowsAsOf(n.asOf())
 	n.known = n.w.now
 	touched, bad := n.replica.Apply(c)
 	if len(bad) > 0 {
@@ -481,8 +497,12 @@
 }
 
 func (n *simNode) checkin(r *wire.Report) (wire.CheckinReply, bool) {
-	if n.leader == nil && n.alive() && n.w.now < n.cut && n.ledTerm != 0 && core.Term(r.Token) == n.ledTerm {
-		// A node that is cut off keeps its workers for a while: node.KeepaliveBound.
+	sent := false // on to the leader
+	for _, p := range n.w.nodes {
+		sent = sent || n.leader == nil && p.leader != nil && n.hears(p)
+	}
+	if n.leader == nil && n.alive() && !sent && n.ledTerm != 0 && core.Term(r.Token) == n.ledTerm {
+		// A node that is cut off keeps workers for a while: node.KeepaliveBound.
 		return wire.CheckinReply{Token: r.Token}, n.w.now-n.led < n.keepalive()
 	}
 	if n.leader != nil && n.w.now-n.asOf() >= n.keepalive() {
@@ -755,6 +775,7 @@
 		n.told = append(n.told, id)
 	}
 	if n.leader != nil {
+		n.leader.KnowsAsOf(n.asOf())
 		n.leader.Cancelled(n.w.coreNow(), []string{id})
 		n.drain()
 	}
@@ -835,6 +856,9 @@
 			id := j.ID
 			w.after(time.Duration(w.rng.IntN(20))*time.Second, func() { w.cancel(id) })
 		}
+		if j.Shape == wire.ShapeArray && w.rng.IntN(4) == 0 {
+			w.cancelAtEnd(j)
+		}
 		w.submit(j)
 	})
 	w.every(time.Second, func() {
@@ -844,6 +868,18 @@
 	})
 }
 
+// cancelAtEnd cancels a job around the moment at which its last task completes: it is
+// done or cancelled, whichever comes first, and stays that.
+func (w *world) cancelAtEnd(j *wire.Job) {
+	for i := range j.Tasks {
+		if !w.rules.Completed(wire.TaskName(j.ID, i)) {
+			w.after(100*time.Millisecond, func() { w.cancelAtEnd(j) })
+			return
+		}
+	}
+	w.after(time.Duration(w.rng.IntN(1500))*time.Millisecond, func() { w.cancel(j.ID) })
+}
+
 // troubles brings crashes, cuts, outages and refusals until the given time.
 func (w *world) troubles(until time.Duration) {
 	w.every(8*time.Second, func() {
--- a/internal/node/asof.go
+++ b/internal/node/asof.go
@@ -49,6 +49,7 @@
 // right after this. Called with the lock held.
 func (n *Node) cancelled(id string) {
 	n.told.add(id)
+	n.leaderKnows()
 	if n.leader != nil {
 		n.leader.Cancelled(n.now(), []string{id})
 	}
@@ -85,6 +86,20 @@
 	return later(n.knownAt, vouched)
 }
 
+// leaderKnows tells the leader as of when it has been told of all cancellations: what
+// comes to it next may be later ones. Called with the lock held.
+func (n *Node) leaderKnows() {
+	if n.leader != nil {
+		n.leader.KnowsAsOf(n.asOf().Sub(n.start))
+	}
+}
+
+// settledAsOf is the moment as of which this leader has seen all cancellations through.
+// Called with the lock held, by the leader.
+func (n *Node) settledAsOf() time.Time {
+	return n.start.Add(n.leader.SettledAsOf(n.asOf().Sub(n.start)))
+}
+
 // entitled reports whether the leader may renew its workers' leases: for no longer
 // after that moment than leaves time for a cancellation it does not know of. It
 // holds whatever became of the process meanwhile, and whoever else leads.
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -299,6 +299,7 @@
 // applyChanges takes an answer to a question sent at begun.
 func (n *Node) applyChanges(c wire.Changes, begun time.Time) {
 	n.do(func() {
+		n.leaderKnows()
 		n.knownAt = later(n.knownAt, begun)
 		touched, bad := n.replica.Apply(c)
 		n.reportBad(bad)
@@ -319,6 +320,7 @@
 		if epoch < n.replica.Epoch {
 			return
 		}
+		n.leaderKnows()
 		n.knownAt = later(n.knownAt, begun)
 		n.reportBad(n.replica.Reset(items, epoch))
 		if n.leader != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,7 @@
 	barred   time.Time // no candidate until then
 	peers    map[string]*peer
 	without  func() time.Duration // for how long the state service has not served us
-	led      time.Time            // as of when the leader knew all cancellations, as far as this node can tell
+	led      time.Time            // as of when all cancellations were seen through, by the leader of the term known
 	knownAt  time.Time            // as of when the replica has all changes
 	told     told
 	settling bool
@@ -89,6 +89,7 @@
 	begun   time.Time // the list has all that it told since then
 	vouched time.Time // as of when we have the list, see asOf
 	served  bool      // by the state service, when it was last heard
+	idle    bool      // it does not lead although it should: its process has started anew
 	refused time.Time // last time that it refused a connection
 	unable  time.Time // last time that it could not decide a request passed on
 	running map[string]int
@@ -356,7 +357,7 @@
 		return
 	}
 	n.log.Info("lead given up", "term", n.lead.term, "why", why)
-	n.led = n.asOf()
+	n.led = later(n.led, n.settledAsOf())
 	n.endTerm()
 	n.lead.name = ""
 	if why == core.Lonely {
@@ -518,9 +519,11 @@
 					if begun.After(p.heard) {
 						p.heard, p.served = begun, pong.Served
 					}
-					if p.Name == n.lead.name && pong.Leader == p.Name && pong.Term == n.lead.term {
-						n.led = later(n.led, begun.Add(-time.Duration(pong.AsOfMilli)*time.Millisecond))
+					if pong.Term == n.lead.term && pong.LedMilli > 0 {
+						n.led = later(n.led, begun.Add(-time.Duration(pong.LedMilli)*time.Millisecond))
 					}
+					p.idle = pong.Leader == p.Name && !pong.Leading
+					n.leaderKnows()
 					p.vouches(pong, begun, time.Now())
 					if n.leader != nil && len(pong.Told) > 0 {
 						n.leader.Cancelled(n.now(), pong.Told)
@@ -555,7 +558,7 @@
 	}
 	n.lead = leadInfo{name: name, term: term, permit: permit}
 	if p := n.peers[name]; p != nil {
-		n.lead.addr = p.Addr
+		n.lead.addr, p.idle = p.Addr, false
 	}
 }
 
@@ -568,7 +571,13 @@
 		}
 		n.hearLead(p.Leader, p.Term)
 		out = mesh.Pong{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term, Served: n.served(),
-			AsOfMilli: min(time.Since(n.asOf()), time.Hour).Milliseconds() + 1, UpMilli: time.Since(n.start).Milliseconds()}
+			Leading: n.leader != nil, UpMilli: time.Since(n.start).Milliseconds()}
+		if n.leader != nil {
+			n.led = later(n.led, n.settledAsOf())
+		}
+		if age := time.Since(n.led); age < time.Hour {
+			out.LedMilli = age.Milliseconds() + 1
+		}
 		if p.HaveBoot != n.boot {
 			p.Have = 0
 		}
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -45,7 +45,7 @@
 // a job cancelled meanwhile is off its machines in time; see KeepaliveBound.
 func (n *Node) followerCheckin(r *wire.Report) WorkerAnswer {
 	p := n.peers[n.lead.name]
-	reachable := p != nil && (time.Since(p.heard) < tuning.PeerDead ||
+	reachable := p != nil && !p.idle && (time.Since(p.heard) < tuning.PeerDead ||
 		// A refused connection came all the way: something between the nodes is
 		// in the way, or it has no free socket, and not a cut between zones. By
 		// the state service it leads, so it is there for workers.
@@ -62,8 +62,9 @@
 	return WorkerAnswer{Status: http.StatusServiceUnavailable}
 }
 
-// KeepaliveBound is for how long after the leader last knew all cancellations (see
-// led and asOf) workers may be kept alive: a job may have been cancelled right after,
+// KeepaliveBound is for how long after the leader last knew all cancellations (asOf)
+// it may keep workers alive, and others after it had seen all of them through (led):
+// what it could not stop may be where they are. A job may have been cancelled right after,
 // and the worker's lease has to run out before the time for that is over. It does
 // not count from the worker's first report here, which in a cut comes only after
 // it has tried other nodes in vain, and where reports are rare much later.
