--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -14,6 +14,9 @@
 // epsilon absorbs rounding in sums of amounts.
 const epsilon = 1e-6
 
+// idleRank is the lowest rank, that of work for what is free.
+var idleRank = wire.RankOrder(wire.RankIdle)
+
 // want is what was left unplaced of a job after a round.
 type want struct {
 	j *job
@@ -60,6 +63,7 @@
 	roomy   []*machine           // usable, with room for the smallest that waits
 	claimed map[*machine]float64 // CPUs on their way to somebody through preemption
 	sought  int                  // jobs for which preemption was tried, production apart
+	idle    int                  // tasks of idle work on machines
 
 	oldRoom  float64 // CPUs that old jobs may take beside those they have
 	reserved bool    // room is being kept for a gang
@@ -71,6 +75,11 @@
 	queue := l.queue()
 	var left []want
 	r := &round{claimed: map[*machine]float64{}}
+	for _, j := range l.jobs {
+		if j.rank == idleRank {
+			r.idle += j.nActive
+		}
+	}
 	l.findRoom(r, queue)
 	_, total := l.capacity()
 	r.oldRoom = total * tuning.OldShare
@@ -792,13 +801,17 @@
 // loses least. With a finite below, only machines that have the image and score
 // better than that are considered.
 func (l *Leader) preempt(r *round, j *job, n int, below float64) int {
-	if !l.cfg.Policy.Preempt || !j.within && j.rank > 0 {
+	if !l.cfg.Policy.Preempt {
+		return 0
+	}
+	// Idle work makes room at once, for work beyond a guarantee too. Other work does
+	// for what is within one, and not right away: room may come by itself, and what
+	// is stopped is lost.
+	onlyIdle := j.rank > 0 && (!j.within || l.now.Mono-j.created < l.cfg.GuaranteeWithin/2)
+	if onlyIdle && (j.rank >= idleRank || r.idle == 0) {
 		return 0
 	}
 	if j.rank > 0 {
-		if l.now.Mono-j.created < l.cfg.GuaranteeWithin/2 {
-			return 0 // room may come by itself, and what is stopped is lost
-		}
 		if r.sought >= tuning.PreemptJobs || j.preemptAt > 0 && l.now.Mono-j.preemptAt < tuning.PreemptGap {
 			return 0 // a look at every task of the cluster is not cheap
 		}
@@ -842,7 +855,7 @@
 				cpus -= a.job.spec.CPUs
 				gpus -= a.job.spec.GPUs
 				mem -= a.job.spec.MemoryGB
-			} else if l.mayPreempt(j, a) {
+			} else if l.mayPreempt(j, a) && (!onlyIdle || a.job.rank == idleRank) {
 				victims = append(victims, a)
 			}
 		}
