--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -53,8 +53,20 @@
 	lease     time.Duration
 	settings  core.Settings
 	trace     bool // print what the leaders log
+	without   guard
 }
 
+// guard is what a world can do without, to show that its checker needs it.
+type guard int
+
+const (
+	everyGuard   guard = iota
+	boundOnKnown       // leaders answer workers only while they know all cancellations
+	peersLists         // nodes tell each other of cancellations
+	seenThrough        // keeping alive counts from when cancellations are seen through
+	fromSending        // and not from when an answer is read
+)
+
 type simNode struct {
 	w       *world
 	name    string
@@ -65,6 +77,7 @@
 	replica *core.Replica
 	refused time.Duration // by the state service, until then
 	cut     time.Duration // from the state service and all peers, until then
+	alone   time.Duration // from all workers, until then
 	dead    time.Duration // until then
 	frozen  time.Duration // until then: it does nothing, and then what came meanwhile
 	born    time.Duration // its process's start
@@ -144,6 +157,11 @@
 	until := time.Duration(0)
 	for _, e := range ends {
 		until = max(until, w.cut[e])
+		for _, n := range w.nodes {
+			if n.name == e && w.workers[ends[0]] != nil {
+				until = max(until, n.alone)
+			}
+		}
 		if z := w.zoneOf(e); z != w.zoneOf(ends[0]) {
 			until = max(until, w.zoneCut[z], w.zoneCut[w.zoneOf(ends[0])])
 		}
@@ -358,14 +376,16 @@
 			continue
 		}
 		if p.leader != nil && p.term >= n.ledTerm {
-			n.led, n.ledTerm = p.leader.SettledAsOf(p.asOf()), p.term
+			n.led, n.ledTerm = p.settled(), p.term
 		}
 		if n.leader != nil {
 			if p.born < n.known {
 				n.vouched[p] = n.w.now
 			}
 			n.leader.KnowsAsOf(n.asOf())
-			n.leader.Cancelled(n.w.coreNow(), p.told)
+			if n.w.without != peersLists {
+				n.leader.Cancelled(n.w.coreNow(), p.told)
+			}
 		}
 	}
 	n.drain()
@@ -392,7 +412,18 @@
 
 // stepDown ends a lead that is lost or given up.
 func (n *simNode) stepDown() {
-	n.led, n.leader = n.leader.SettledAsOf(n.asOf()), nil
+	n.led, n.leader = n.settled(), nil
+}
+
+// settled is as of when the leader has seen all cancellations through.
+func (n *simNode) settled() time.Duration {
+	switch n.w.without {
+	case seenThrough:
+		return n.asOf()
+	case fromSending:
+		return n.w.now
+	}
+	return n.leader.SettledAsOf(n.asOf())
 }
 
 func (n *simNode) crash(d time.Duration) {
@@ -505,7 +536,7 @@
 		// A node that is cut off keeps workers for a while: node.KeepaliveBound.
 		return wire.CheckinReply{Token: r.Token}, n.w.now-n.led < n.keepalive()
 	}
-	if n.leader != nil && n.w.now-n.asOf() >= n.keepalive() {
+	if n.leader != nil && n.w.now-n.asOf() >= n.keepalive() && n.w.without != boundOnKnown {
 		n.stepDown()
 	}
 	if n.leader == nil || !n.alive() {
@@ -593,14 +624,22 @@
 				with(func() { l.Released(w.coreNow(), names, core.ReleaseRefused) })
 				return
 			}
-			if !w.lying {
+			kill := func() {
 				for _, name := range names {
 					w.workers[name].Kill()
 				}
 			}
 			res := core.ReleaseDone
-			if w.chance(0.1) {
+			switch {
+			case w.lying:
+			case w.chance(0.1): // no answer, and it is carried out late
 				res = core.ReleaseUnknown
+				w.after(time.Duration(w.rng.IntN(15_000))*time.Millisecond, kill)
+			default:
+				kill()
+				if w.chance(0.1) {
+					res = core.ReleaseUnknown
+				}
 			}
 			with(func() { l.Released(w.coreNow(), names, res) })
 		})
