--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -916,9 +916,14 @@
 	case RentDone:
 		l.count.Rented += uint64(len(machines))
 		for _, n := range machines {
-			if l.machines[n] == nil && !l.gone[n] {
-				l.addMachine(n, r.offer.typ, r.offer.zone, r.offer.spot, "").ours = true
+			if l.gone[n] {
+				continue
+			}
+			m := l.machines[n] // it may be up, and have reported, ahead of this answer
+			if m == nil {
+				m = l.addMachine(n, r.offer.typ, r.offer.zone, r.offer.spot, "")
 			}
+			m.ours = true
 		}
 		if len(machines) < r.count {
 			l.noCap[r.offer] = now.Mono + l.capacityPause()
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -12,8 +12,7 @@
 // longer entitled to answer.
 func (l *Leader) Checkin(now Now, r *wire.Report) (reply wire.CheckinReply, ok bool) {
 	l.now = now
-	if Term(r.Token) > l.term {
-		l.out.Resign = "a worker has seen a higher token"
+	if l.overtaken(r) {
 		return reply, false
 	}
 	if l.gone[r.Machine] {
@@ -52,6 +51,23 @@
 	return wire.CheckinReply{Token: l.token(m), Commands: cmds}, true
 }
 
+// overtaken reports whether a worker has seen a token above ours. It ends our lead if
+// there can be such a leader: terms are revisions of the state service, and one that
+// is far ahead of all that we have seen there is a worker's mistake, which must not
+// depose one leader after the other.
+func (l *Leader) overtaken(r *wire.Report) bool {
+	term := Term(r.Token)
+	switch {
+	case term <= l.term:
+		return false
+	case term > l.term+tuning.TermAhead:
+		l.line(false, "report with a token that nobody can have given", "machine", r.Machine, "token", r.Token)
+	default:
+		l.out.Resign = "a worker has seen a higher token"
+	}
+	return true
+}
+
 // hearing watches whether our answers reach the worker. A new session although we
 // answered the one before within its lease says that they did not. Such a machine
 // gets no new work, and is given back unless a direct call shows that it hears us.
@@ -701,9 +717,8 @@
 	for _, a := range cs.runs {
 		a.calling = false
 	}
-	if r != nil && Term(r.Token) > l.term {
-		l.out.Resign = "a worker has seen a higher token"
-		return
+	if r != nil && l.overtaken(r) {
+		res, r = CallLost, nil
 	}
 	if r != nil && r.Machine != m.name {
 		res, r = CallLost, nil // another machine has this address now
--- a/internal/core/report_test.go
+++ b/internal/core/report_test.go
@@ -1,13 +1,57 @@
 package core
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
+// Reports that contradict themselves, each other and all that was ever placed change
+// nothing that the books could not bear, and end neither the process nor the lead.
+func TestContradictoryReports(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		d := newDesk(t, false, nil, nil)
+		d.up("n-1", "n-2")
+		for i := range 4 {
+			d.submit(wire.Job{ID: fmt.Sprintf("run-%06d", i), Tasks: 1 + i, CPUs: float64(1 + i)})
+		}
+		numbers := []uint64{0, 1, d.l.term<<tuning.FenceBits | 1, d.l.term<<tuning.FenceBits | 2, 1<<64 - 1}
+		task := rapid.Custom(func(r *rapid.T) wire.TaskReport {
+			return wire.TaskReport{
+				Task:    fmt.Sprintf("run-%06d/%d", rapid.IntRange(0, 5).Draw(r, "job"), rapid.SampledFrom([]int{0, 1, 3, 99999}).Draw(r, "index")),
+				Attempt: rapid.SampledFrom(numbers).Draw(r, "attempt"),
+				State:   rapid.SampledFrom([]string{"", "odd", wire.TaskFetching, wire.TaskRunning, wire.TaskSaving, wire.TaskExited}).Draw(r, "state"),
+				Cause:   rapid.SampledFrom([]string{"", "odd", wire.CauseDone, wire.CauseError, wire.CauseHalted, wire.CauseFull, wire.CauseUnknown}).Draw(r, "cause"),
+			}
+		})
+		for range rapid.IntRange(1, 30).Draw(r, "reports") {
+			rep := &wire.Report{Machine: rapid.SampledFrom([]string{"n-1", "n-2", "n-9"}).Draw(r, "machine"), Address: "a:1",
+				Type: rapid.SampledFrom([]string{"box", "none", ""}).Draw(r, "type"), Zone: rapid.SampledFrom([]string{"a", "b", "none"}).Draw(r, "zone"),
+				Session: rapid.Uint64Range(1, 4).Draw(r, "session"), Tick: rapid.Uint64Range(0, 40).Draw(r, "tick"),
+				Token: rapid.SampledFrom([]uint64{0, 7, d.l.term << tuning.FenceBits, d.l.term<<tuning.FenceBits | 9, 1<<64 - 1}).Draw(r, "token"),
+				Tasks: rapid.SliceOfN(task, 0, 6).Draw(r, "tasks")}
+			d.now += time.Duration(rapid.IntRange(1, 3000).Draw(r, "ms")) * time.Millisecond
+			if rapid.Bool().Draw(r, "direct") && len(d.calls) > 0 {
+				c := d.calls[0]
+				d.calls = d.calls[1:]
+				d.l.CallDone(d.clock(), c.ID, CallResult(rapid.IntRange(0, 2).Draw(r, "result")), rep)
+			} else {
+				d.l.Checkin(d.clock(), rep)
+			}
+			d.l.Tick(d.clock())
+			d.settle() // fails the test if the leader resigns
+			if err := d.l.Audit(); err != nil {
+				r.Fatal(err)
+			}
+		}
+	})
+}
+
 // Nothing is started before its machine's record has it, and nothing at all
 // while the state service takes no writes.
 func TestNoStartBeforeTheRecord(t *testing.T) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -23,6 +23,9 @@
 	// up by itself. 2^20 fences per term outlast any term, and 44 bits are left
 	// for the state service's revisions.
 	FenceBits = 20
+	// TermAhead is by how many revisions a leader's term may be above our own to be
+	// believed: days of changes at hundreds a second.
+	TermAhead = 1 << 26
 )
 
 // Dealings with the state service.
