--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -218,6 +218,23 @@
 	}
 }
 
+// What was read before the process stood still is not told as fresh.
+func TestReadBeforeAStandstillIsReadAgain(t *testing.T) {
+	reads := 0
+	err := reread(func() (time.Time, error) {
+		if reads++; reads < 3 {
+			return time.Now().Add(-time.Minute), nil
+		}
+		return time.Now(), nil
+	})
+	if err != nil || reads != 3 {
+		t.Errorf("read %d times: %v", reads, err)
+	}
+	if err := reread(func() (time.Time, error) { return time.Time{}, context.DeadlineExceeded }); err == nil {
+		t.Error("a read that failed was told")
+	}
+}
+
 // However many machines have something coming, direct calls keep within the sockets
 // that are left for them.
 func TestDirectCallsAreBounded(t *testing.T) {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -31,11 +31,13 @@
 type syncCall struct {
 	done chan struct{}
 	err  error
+	at   time.Time // when it was answered
 }
 
 // fresh brings the replica up to a moment after the call. Concurrent callers
-// share a read, but never one that was sent before they came.
-func (n *Node) fresh(ctx context.Context) error {
+// share a read, but never one that was sent before they came. It says when that was
+// answered.
+func (n *Node) fresh(ctx context.Context) (time.Time, error) {
 	n.syncMu.Lock()
 	c := n.next
 	if c == nil {
@@ -49,9 +51,9 @@
 	n.syncMu.Unlock()
 	select {
 	case <-c.done:
-		return c.err
+		return c.at, c.err
 	case <-ctx.Done():
-		return ctx.Err()
+		return time.Time{}, ctx.Err()
 	}
 }
 
@@ -68,6 +70,7 @@
 		}
 		n.syncMu.Unlock()
 		c.err = n.syncOnce()
+		c.at = time.Now()
 		close(c.done)
 		time.Sleep(n.syncGap())
 	}
@@ -103,7 +106,7 @@
 // the leader's as fresh as its right to answer workers asks for.
 func (n *Node) follow(ctx context.Context) {
 	for pause := tuning.FollowEvery; sleep(ctx, jitter(pause)); {
-		_ = n.fresh(ctx) // failing that, the next round or a poll will do
+		_, _ = n.fresh(ctx) // failing that, the next round or a poll will do
 		pause = tuning.FollowEvery
 		n.mu.Lock()
 		if n.leader != nil {
@@ -113,55 +116,72 @@
 	}
 }
 
-// known tells a job's state as of a moment after the call. status 404 means
-// that it was never accepted; an error that this cannot be told now.
-func (n *Node) known(ctx context.Context, id string) (wire.JobView, bool, error) {
+// known tells a job's state as of a moment after the call; found is false for one that
+// was never accepted, and an error says that this cannot be told now. What was read
+// before this process stood still for a while is read again: others may have told the
+// user something newer meanwhile.
+func (n *Node) known(ctx context.Context, id string) (v wire.JobView, found bool, err error) {
+	err = reread(func() (at time.Time, err error) {
+		v, found, at, err = n.look(ctx, id)
+		return at, err
+	})
+	return v, found, err
+}
+
+// reread looks until what was read is as fresh as an answer has to be.
+func reread(look func() (at time.Time, err error)) error {
+	for {
+		if at, err := look(); err != nil || time.Since(at) < tuning.AnswerWithin {
+			return err
+		}
+	}
+}
+
+// look is one try of known. It also says when what it tells was read.
+func (n *Node) look(ctx context.Context, id string) (v wire.JobView, found bool, at time.Time, err error) {
 	n.mu.Lock()
 	rec, ok := n.replica.Ended(id)
 	n.mu.Unlock()
 	if ok {
-		return endedView(id, rec), true, nil
+		return endedView(id, rec), true, time.Now(), nil // for good
 	}
-	if err := n.fresh(ctx); err != nil {
-		return wire.JobView{}, false, err
+	if at, err = n.fresh(ctx); err != nil {
+		return v, false, at, err
 	}
 	n.mu.Lock()
 	live := n.replica.Live[id]
 	rec, ended := n.replica.Ended(id)
 	absent := n.replica.Absent(id)
-	var v wire.JobView
 	if live != nil {
 		v = n.liveView(id, live)
 	}
 	n.mu.Unlock()
 	if ended {
-		return endedView(id, rec), true, nil
-	}
-	if live != nil {
-		return v, true, nil
+		return endedView(id, rec), true, at, nil
 	}
-	if absent {
-		return wire.JobView{}, false, nil
+	if live != nil || absent {
+		return v, live != nil, at, nil
 	}
 	// Once for each id, and behind what others wait for: whoever asks about many
 	// that nobody submitted must not take the reads of those that somebody did.
 	it, err := n.state.Get(ctx, store.Third, store.EndedKey(id))
+	at = time.Now()
 	if err != nil {
-		return wire.JobView{}, false, err
+		return v, false, at, err
 	}
 	if it.Stamp == 0 {
 		n.mu.Lock()
 		n.replica.Missing(id)
 		n.mu.Unlock()
-		return wire.JobView{}, false, nil
+		return v, false, at, nil
 	}
 	if err := wire.Unmarshal(it.Value, &rec); err != nil {
-		return wire.JobView{}, false, err
+		return v, false, at, err
 	}
 	n.mu.Lock()
 	n.replica.Remember(id, rec)
 	n.mu.Unlock()
-	return endedView(id, rec), true, nil
+	return endedView(id, rec), true, at, nil
 }
 
 func endedView(id string, rec store.EndedRecord) wire.JobView {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -120,6 +120,10 @@
 	defer cancel()
 	begun := time.Now()
 	code, err := c.rpc.Call(ctx, method, c.base+path, in, out)
+	if err == nil && method == http.MethodGet && time.Since(begun) > timeout {
+		// The process stood still meanwhile: what the answer says was true long ago.
+		err = context.DeadlineExceeded
+	}
 	if err != nil {
 		c.raise(&c.failed, begun)
 		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -347,6 +347,9 @@
 	// QueryPatience is how long a poll waits here before it is passed on; users
 	// wait 2 s in all.
 	QueryPatience = 700 * time.Millisecond
+	// AnswerWithin is how soon after it was read a job's state is told: a process that
+	// stood still in between reads it again. Running goroutines take far less.
+	AnswerWithin = 500 * time.Millisecond
 	// PeerUnable is how long a peer that could not decide is left alone.
 	PeerUnable = 400 * time.Millisecond
 	// ForwardTimeout bounds a request passed to a peer.
