--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -145,7 +145,8 @@
 		}
 	}
 	l.line(true, "load", "cpus_used", used, "cpus_total", total, "machines", len(l.machines), "jobs", len(l.jobs),
-		"no_room", why["no machine has room"], "team_limit", why["its team is at its limit"], "other", why[""])
+		"no_room", why["no machine has room"], "team_limit", why["its team is at its limit"], "other", why[""],
+		"unsettled_s", (l.now.Mono - l.SettledAsOf(l.now.Mono)).Seconds())
 }
 
 // Unsettled reports whether placement waits for its gap to pass.
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -39,14 +39,16 @@
 	l.budgetAt = l.now.Mono
 }
 
-// flush writes what is due, the most urgent first: ended jobs, starts that wait
-// for their record, then what can wait.
+// flush writes what is due, the most urgent first: starts that wait for their record,
+// ended jobs, then what can wait.
 func (l *Leader) flush() {
 	l.refill()
 	for len(l.commits) < maxCommits && l.now.Mono >= l.holdOff {
 		t := l.newTxn(l.term)
-		l.gatherEnded(t)
+		// Batches are spaced, and one change has dozens of starts where an end takes
+		// two: a swarm of small jobs that end would keep all starts waiting.
 		l.gatherBatches(t)
+		l.gatherEnded(t)
 		l.gatherProgress(t)
 		l.gatherDeleted(t)
 		if len(t.t.Apply) == 0 {
