--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -240,7 +240,8 @@
 
 	hope    int     // which of its deadlines it can still meet, as of the last round
 	begun   bool    // some task of it has come to stay
-	overdue bool    // nothing of it has begun for long
+	unbegun bool    // nothing of it has begun for long
+	overdue bool    // and it has not got its first tasks yet
 	old     bool    // has missed all its deadlines, long ago
 	within  bool    // inside its team's guarantee, as of the last round
 	slack   float64 // seconds until it is due, as of the last round
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -72,7 +72,8 @@
 // place assigns waiting tasks to machines, in order, and says what was left.
 func (l *Leader) place() []want {
 	l.dirtyPlace = false
-	queue := l.queue()
+	_, total := l.capacity()
+	queue := l.queue(total)
 	var left []want
 	r := &round{claimed: map[*machine]float64{}}
 	for _, j := range l.jobs {
@@ -81,7 +82,6 @@
 		}
 	}
 	l.findRoom(r, queue)
-	_, total := l.capacity()
 	r.oldRoom = total * tuning.OldShare
 	for _, j := range queue {
 		if j.old {
@@ -427,7 +427,7 @@
 
 // queue orders the jobs that wait: production first, then what fits its team's
 // guarantee, then by rank and by how little time is left.
-func (l *Leader) queue() []*job {
+func (l *Leader) queue(total float64) []*job {
 	teams := map[string][]*job{}
 	var out []*job
 	for _, j := range l.jobs {
@@ -440,7 +440,8 @@
 		// What nothing has begun of for long gets its first tasks, whatever comes
 		// after it: the order by deadlines alone gives up the largest first, and
 		// under lasting overload again and again.
-		j.overdue = !j.service && l.now.Mono-j.created > tuning.BeginBy && !l.hasBegun(j) && !j.doubtful()
+		j.unbegun = !j.service && l.now.Mono-j.created > tuning.BeginBy && !l.hasBegun(j) && !j.doubtful()
+		j.overdue = j.unbegun && l.beginWith(j, total) > 0
 		teams[j.spec.Team] = append(teams[j.spec.Team], j)
 		if j.pending() > 0 && l.now.Mono >= j.retryAt {
 			out = append(out, j)
@@ -538,9 +539,9 @@
 	return max(0, n-j.nActive)
 }
 
-// beginning reports whether the attempt is of a job that is overdue: what got its
-// first tasks ahead of others keeps them until it has begun.
-func (a *attempt) beginning() bool { return a.job != nil && a.job.overdue }
+// beginning reports whether the attempt is of a job that has not begun for long: what
+// it got ahead of others it keeps until then.
+func (a *attempt) beginning() bool { return a.job != nil && a.job.unbegun }
 
 // class orders jobs of the same standing: on time within the guarantee, on time
 // beyond it, late within it, late beyond it.
--- a/internal/core/place_test.go
+++ b/internal/core/place_test.go
@@ -74,6 +74,23 @@
 	}
 }
 
+// What a job that waited for long gets ahead of others is no bound: with room for all
+// of it, all of it runs. It had to wait until its first tasks had run for a while.
+func TestLongWaitIsNoBound(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.l.cfg.Teams["red"] = Team{CPUs: 1000, CPUsMax: 1000}
+	c := newCrew(d, func(string, string) (time.Duration, string) { return tuning.BeginBy + 10*time.Second, wire.CauseDone })
+	d.submit(wire.Job{ID: "run-000001", Tasks: 24, CPUs: 1, EstimateS: 100})
+	c.work()
+	d.submit(wire.Job{ID: "run-000002", Tasks: 20, CPUs: 1, EstimateS: 100})
+	for d.now < c.from+tuning.BeginBy+15*time.Second {
+		c.work()
+	}
+	if n := d.l.jobs["run-000002"].nActive; n != 20 {
+		t.Errorf("%d of 20 tasks run where there is room for all", n)
+	}
+}
+
 // A job that was submitted with a mistake fails wherever it runs: it is tried with one
 // task at a time, holds nothing against machines and does not slow others. A machine
 // that is faulty is avoided, since several jobs fail there that succeed elsewhere.
