A service that failed on three machines over time is no job with a mistake

Cause: only arrays were looked at for having begun, so a service whose replicas had failed on three machines counted as failing everywhere, and a missing replica was not placed beside the others. What had run for long before it failed also starts its pauses anew; they stayed at a minute for the rest of a service's life.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -182,7 +182,7 @@
 		case state == wire.JobDone && !j.Service():
 		case state == wire.JobPending && j.Service() && w.rules.On(j.ID) == j.Tasks:
 		default:
-			t.Fatalf("%s is %s with %d of %d tasks on machines", j.ID, state, w.rules.On(j.ID), j.Tasks)
+			t.Fatalf("%s is %s with %d of %d tasks on machines\n%s", j.ID, state, w.rules.On(j.ID), j.Tasks, w.explain(j.ID))
 		}
 	}
 	if w.rules.Starts < 24_000 {
--- a/internal/core/deadline.go
+++ b/internal/core/deadline.go
@@ -126,7 +126,7 @@
 		if j.service {
 			services[j.spec.Team] += float64(j.spec.Tasks) * j.spec.CPUs
 		}
-		if j.service || len(j.dues) == 0 || j.doubtful() {
+		if j.service || len(j.dues) == 0 || l.doubtful(j) {
 			continue
 		}
 		w := l.work(j)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -223,6 +223,7 @@
 	running  int
 
 	failures   int
+	failsAfter time.Duration // the longest that a failed attempt ran
 	failedOn   map[string]bool
 	retryAt    time.Duration
 	waitSince  time.Duration // since when a task of it waits; 0: none does
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -111,7 +111,7 @@
 			j.why = "a record that may be about it cannot be read"
 			continue
 		}
-		if j.doubtful() && !j.spec.Gang() {
+		if l.doubtful(j) && !j.spec.Gang() {
 			// It is tried with one task at a time until one stays.
 			if n = min(n, 1-j.nActive); n <= 0 {
 				j.why = "it has failed on every machine so far"
@@ -440,7 +440,7 @@
 		// What nothing has begun of for long gets its first tasks, whatever comes
 		// after it: the order by deadlines alone gives up the largest first, and
 		// under lasting overload again and again.
-		j.unbegun = !j.service && l.now.Mono-j.created > tuning.BeginBy && !l.hasBegun(j) && !j.doubtful()
+		j.unbegun = !j.service && l.now.Mono-j.created > tuning.BeginBy && !l.hasBegun(j) && !l.doubtful(j)
 		j.overdue = j.unbegun && l.beginWith(j, total) > 0
 		teams[j.spec.Team] = append(teams[j.spec.Team], j)
 		if j.pending() > 0 && l.now.Mono >= j.retryAt {
@@ -505,10 +505,21 @@
 }
 
 // doubtful reports whether the job seems to be submitted with a mistake: it has failed
-// on several machines and never come to stay on any. A faulty machine fails others'
-// work too, and the job's own work succeeds elsewhere.
-func (j *job) doubtful() bool {
-	return !j.begun && j.nDone == 0 && len(j.failedOn) >= tuning.JobSuspectMachines
+// on several machines, and nothing of it has come to stay or now runs for longer than
+// it takes to fail. A faulty machine fails others' work too, and the job's own work
+// succeeds elsewhere.
+func (l *Leader) doubtful(j *job) bool {
+	if len(j.failedOn) < tuning.JobSuspectMachines || l.hasBegun(j) {
+		return false
+	}
+	for _, list := range j.active {
+		for _, a := range list {
+			if a.runningAt > 0 && !a.halt && l.now.Mono-a.runningAt > 2*j.failsAfter+tuning.FailsWithin {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 // hasBegun reports whether something of the job has come to stay: a task that is
--- a/internal/core/place_test.go
+++ b/internal/core/place_test.go
@@ -74,6 +74,42 @@
 	}
 }
 
+// A service whose replicas failed on three machines over time, and run on others, is
+// no job with a mistake: its missing replicas are placed at once. One stayed missing.
+func TestServiceOutlivesFaultyMachines(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	fail := map[string]bool{}
+	c := newCrew(d, func(_, m string) (time.Duration, string) {
+		if fail[m] {
+			return time.Second, wire.CauseError
+		}
+		return time.Hour, wire.CauseDone
+	})
+	d.submit(wire.Job{ID: "run-000001", Tasks: 6, CPUs: 1, Shape: wire.ShapeService, Rank: wire.RankProduction})
+	for i, m := range c.machines {
+		for range 40 {
+			c.work()
+		}
+		fail[m] = true
+		for _, x := range c.on[m] {
+			x.end, x.cause = d.now, wire.CauseError
+		}
+		for range 8 {
+			c.work()
+		}
+		fail[m] = false
+		if n := d.l.jobs["run-000001"]; n.nActive != 6 && n.retryAt <= d.now {
+			t.Errorf("after the failures on %d machines %d of 6 replicas are placed", i+1, n.nActive)
+		}
+	}
+	for range 40 {
+		c.work()
+	}
+	if n := d.l.jobs["run-000001"].running; n != 6 {
+		t.Errorf("%d of 6 replicas run: %+v", n, d.l.Job(d.clock(), "run-000001"))
+	}
+}
+
 // What a job that waited for long gets ahead of others is no bound: with room for all
 // of it, all of it runs. It had to wait until its first tasks had run for a while.
 func TestLongWaitIsNoBound(t *testing.T) {
@@ -135,6 +171,9 @@
 			t.Errorf("%s, which came at %v, began at %v", id, at, begun)
 		}
 	}
+	if l := d.l; l.doubtful(l.jobs["run-000001"]) != true {
+		t.Error("a job that fails everywhere is not doubted")
+	}
 	faulty = true
 	for n := range 8 {
 		d.submit(wire.Job{ID: fmt.Sprintf("run-%06d", 200+n), Tasks: 6, CPUs: 2, EstimateS: 4})
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -373,6 +373,12 @@
 	}
 	switch cause {
 	case wire.CauseError:
+		if ran := l.now.Mono - a.runningAt; a.runningAt > 0 {
+			j.failsAfter = max(j.failsAfter, ran)
+			if ran >= tuning.BegunAfter {
+				j.begun, j.failures = true, 0 // it worked: what failed before is no pattern
+			}
+		}
 		j.failures++
 		j.failedOn[m.name] = true
 		l.backoff(j)
@@ -390,7 +396,7 @@
 // wherever it runs says nothing about machines, those that it was held against
 // before included.
 func (l *Leader) blame(m *machine, j *job) {
-	if !j.doubtful() {
+	if !l.doubtful(j) {
 		m.failedBy[j.id] = true
 		if len(m.failedBy) >= tuning.SuspectJobs {
 			if m.suspect < l.now.Mono {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -141,6 +141,7 @@
 	SuspectFor  = 5 * time.Minute
 	// JobSuspectMachines is on how many machines a job that never came to stay has
 	// to fail before it, and not they, counts as faulty.
+	// Tasks that run for FailsWithin longer than twice what failed ones ran speak for it.
 	JobSuspectMachines = 3
 	// RefusalPause keeps a machine from new starts after it refused one as
 	// full: its picture and ours differ until its next report.
@@ -149,6 +150,7 @@
 	// the deployment does not say. For half of it, room may come by itself;
 	// then borrowed work is stopped.
 	GuaranteeWithin = 5 * time.Second
+	FailsWithin     = 2 * time.Second
 	// EvacuateBy is how long before a machine is taken, in seconds, all that is
 	// left on it is stopped: a stop and its report take less than one.
 	EvacuateBy = 2.0
