--- a/internal/node/asof.go
+++ b/internal/node/asof.go
@@ -59,9 +59,12 @@
 // process of the peer told, or entries that are no longer kept, the list has not: it
 // counts only for whoever knows by the state service what was before.
 func (p *peer) vouches(pong mesh.Pong, asked, now time.Time) {
+	if pong.UpMilli == 0 {
+		return // of a version that keeps no list
+	}
 	if pong.Boot != p.boot {
 		p.boot, p.have = pong.Boot, 0
-		p.begun = now.Add(-time.Duration(pong.UpMilli) * time.Millisecond)
+		p.begun = now.Add(-time.Duration(pong.UpMilli-1) * time.Millisecond)
 	}
 	if pong.From > p.have {
 		p.begun = now
--- a/internal/node/asof_test.go
+++ b/internal/node/asof_test.go
@@ -74,7 +74,7 @@
 				if r.boot != p.boot {
 					have = 0
 				}
-				pong := mesh.Pong{Boot: r.boot, UpMilli: now.Sub(r.born).Milliseconds()}
+				pong := mesh.Pong{Boot: r.boot, UpMilli: 1 + now.Sub(r.born).Milliseconds()}
 				pong.From, pong.Told = r.told.after(have)
 				pong.Told = append([]string(nil), pong.Told...)
 				if rapid.Bool().Draw(t, "tells meanwhile") {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -321,8 +321,21 @@
 	n.withLeader(l, func(now core.Now) { l.CallDone(now, c.ID, res, rep) })
 }
 
+// holds reports whether the leader's lease lasts for certain at this moment: the cloud
+// checks neither conditions nor tokens, and the process may have stood still since the
+// core decided.
+func (n *Node) holds(l *core.Leader) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leader == l && time.Now().Before(n.heldTo)
+}
+
 func (n *Node) rent(l *core.Leader, r wire.RentRequest) {
-	names, err := n.cloud.Rent(context.Background(), r)
+	var names []string
+	err := cloud.ErrRefused
+	if n.holds(l) {
+		names, err = n.cloud.Rent(context.Background(), r)
+	}
 	res := core.RentUnknown
 	switch {
 	case err == nil:
@@ -336,12 +349,15 @@
 }
 
 func (n *Node) release(l *core.Leader, names []string) {
-	err := n.cloud.Release(context.Background(), names)
+	err := cloud.ErrRefused
+	if n.holds(l) {
+		err = n.cloud.Release(context.Background(), names)
+	}
 	res := core.ReleaseUnknown
 	switch {
 	case err == nil:
 		res = core.ReleaseDone
-	case errors.Is(err, cloud.ErrTrouble), errors.Is(err, cloud.ErrLimited):
+	case errors.Is(err, cloud.ErrTrouble), errors.Is(err, cloud.ErrLimited), errors.Is(err, cloud.ErrRefused):
 		res = core.ReleaseRefused
 	}
 	if err != nil {
@@ -571,7 +587,7 @@
 		}
 		n.hearLead(p.Leader, p.Term)
 		out = mesh.Pong{Node: n.cfg.Node, Boot: n.boot, Leader: n.lead.name, Term: n.lead.term, Served: n.served(),
-			Leading: n.leader != nil, UpMilli: time.Since(n.start).Milliseconds()}
+			Leading: n.leader != nil, UpMilli: 1 + time.Since(n.start).Milliseconds()}
 		if n.leader != nil {
 			n.led = later(n.led, n.settledAsOf())
 		}
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/yarrowgap/yarrowgap/internal/cloud"
 	"github.com/yarrowgap/yarrowgap/internal/config"
 	"github.com/yarrowgap/yarrowgap/internal/core"
 	"github.com/yarrowgap/yarrowgap/internal/policy"
@@ -218,6 +219,32 @@
 	}
 }
 
+// A rental or release that the process stood still before it could send is not sent
+// once the lead may be another's: it would take machines that work for that one.
+func TestNoLateDealingsWithTheCloud(t *testing.T) {
+	asked := 0
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked++
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer srv.Close()
+	n := quietNode(t)
+	n.cloud = cloud.New(srv.Listener.Addr().String())
+	n.leader, n.lost = core.NewLeader(n.now(), n.coreSettings(), 9, core.NewReplica(), nil, nil, nil), make(chan struct{})
+	deal := func() {
+		n.release(n.leader, []string{"n-000001"})
+		n.rent(n.leader, wire.RentRequest{Name: "r-1", Count: 1})
+	}
+	n.heldTo = time.Now().Add(-time.Second)
+	if deal(); asked != 0 {
+		t.Errorf("%d requests after the lease", asked)
+	}
+	n.heldTo = time.Now().Add(time.Hour)
+	if deal(); asked != 2 {
+		t.Errorf("%d requests within the lease", asked)
+	}
+}
+
 // What was read before the process stood still is not told as fresh.
 func TestReadBeforeAStandstillIsReadAgain(t *testing.T) {
 	reads := 0
