Zones that are cut off are kept alive for two seconds longer

The margin was for cancellations whose stops were on their way when a cut began. The time now counts from when all cancellations were seen through, so only clocks and timers need one.

--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -330,9 +330,10 @@
 	HoldFor = 15 * time.Second
 	HoldGap = 50 * time.Millisecond
 	// KeepaliveMargin is taken off the time for which a follower keeps the
-	// workers of a cut zone alive, see Node.KeepaliveBound: for a cancellation
-	// whose stops were on their way when the cut began, and for clocks.
-	KeepaliveMargin = 3 * time.Second
+	// workers of a cut zone alive, see Node.KeepaliveBound: for clocks that drift
+	// and timers that fire late. Cancellations that were not seen through when the
+	// cut began need none, since that time counts from before them.
+	KeepaliveMargin = 1 * time.Second
 	// LonelyReports is how many report intervals a leader of up to LonelyMachines
 	// machines may go without hearing from any worker before it resigns; with more,
 	// the time is shorter by as much, but LonelyLeast at the least: longer than
