A machine that is being given back is told to stop what is cancelled

Cause: while a release gets no answer, reports were answered without commands, which renews the worker's lease; a job cancelled meanwhile, or just before, went on there for as long as the cloud stayed silent, past cancel_s. Each such answer now carries the stops that are due. TestCancelledOnAMachineBeingReleased fails without it (0 of 3 tasks are told to stop). The guards' test also shows that each named test passes with its guard in place.

--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -396,3 +396,43 @@
 		}
 	}
 }
+
+// A machine that is being given back is kept alive until the release is answered, which
+// may take long: what is cancelled meanwhile, or was just before, is stopped with each
+// answer all the same.
+func TestCancelledOnAMachineBeingReleased(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		d := newDesk(t, false, nil, nil)
+		d.up("n-1")
+		d.submit(wire.Job{ID: "run-000001", Tasks: 3, CPUs: 1})
+		d.answerAll(CallExecuted)
+		d.report("n-1", d.on("n-1")...)
+		cancel := func() { d.l.Cancelled(d.clock(), []string{"run-000001"}) }
+		if before {
+			cancel()
+			d.settle()
+			d.answerAll(CallLost)
+		}
+		m := d.l.machines["n-1"]
+		m.failed = true // by the cloud's list
+		d.pass(2*d.l.cfg.Report + tuning.TickEvery)
+		if m.phase != releasing {
+			t.Fatal("not given back")
+		}
+		d.l.Released(d.clock(), []string{"n-1"}, ReleaseUnknown)
+		if !before {
+			cancel()
+			d.settle()
+		}
+		d.calls = nil
+		stopped := map[string]bool{}
+		for _, o := range d.report("n-1", d.on("n-1")...).Commands {
+			if o.Verb == wire.VerbHalt {
+				stopped[o.Task] = true
+			}
+		}
+		if len(stopped) != 3 {
+			t.Errorf("cancelled before: %v; %d of 3 tasks are told to stop by an answer that keeps them alive", before, len(stopped))
+		}
+	}
+}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -24,10 +24,14 @@
 		// Its tasks count until the release is answered. Its lease may as well
 		// be kept, so that it goes on if the release fails, and is not asked for
 		// again then as if it were silent.
+		reply = wire.CheckinReply{Token: l.token(m), Commands: []wire.Command{}}
 		if r.Newer(m.session, m.tick) {
 			m.heardAt, m.vain, l.heardAny = now.Mono, 0, now.Mono
+			// A lease that is kept has to bring stops with it: where releases get no
+			// answer for long, cancelled tasks would run on here past their time.
+			reply.Commands = l.halts(m)
 		}
-		return wire.CheckinReply{Token: l.token(m)}, true
+		return reply, true
 	}
 	// A copy of an earlier report, however late it comes, is no sign of life and
 	// changes nothing.
@@ -565,7 +569,7 @@
 		}
 	}
 	sortAttempts(due)
-	var cmds []wire.Command
+	cmds := []wire.Command{}
 	for _, a := range due {
 		a.haltedAt = l.now.Mono
 		leeway := 0.0
--- a/internal/guards/guards_test.go
+++ b/internal/guards/guards_test.go
@@ -61,9 +61,15 @@
 				t.Fatal(err)
 			}
 			pkg, run, _ := strings.Cut(g.test, ":")
-			cmd := exec.Command("go", "test", "-overlay", list, "-count=1", "-run", run, "./"+pkg)
-			cmd.Dir = root
-			out, err := cmd.CombinedOutput()
+			test := func(more ...string) ([]byte, error) {
+				cmd := exec.Command("go", append(append([]string{"test"}, more...), "-run", run, "./"+pkg)...)
+				cmd.Dir = root
+				return cmd.CombinedOutput()
+			}
+			if out, err := test(); err != nil { // mostly from the cache
+				t.Fatalf("%s fails with the guard in place: %v\n%s", g.test, err, out)
+			}
+			out, err := test("-overlay", list, "-count=1")
 			switch {
 			case strings.Contains(string(out), "[build failed]") || strings.Contains(string(out), "no tests to run"):
 				t.Fatalf("%s did not run:\n%s", g.test, out)
--- a/internal/guards/node_test.go
+++ b/internal/guards/node_test.go
@@ -16,4 +16,11 @@
 		put:     "if false {",
 		test:    "internal/node:^TestKnowledge$",
 	},
+	{
+		meeting: "a release gets no answer while jobs on the machine are cancelled",
+		file:    "internal/core/report.go",
+		cut:     "reply.Commands = l.halts(m)",
+		put:     "",
+		test:    "internal/core:^TestCancelledOnAMachineBeingReleased$",
+	},
 }
