Every answer that renews a lease stops what is cancelled on the machine

Cause: after a stop, answers of the next two seconds carried none, and a new leader's first answers carried none at all until the machine was heard under its token. If the stop was lost and nothing reached the machine from then on, cancelled tasks ran for a whole lease after that answer, which is past cancel_s where the leader learned of the cancellation late in its bound. TestEachRenewalStopsWhatIsCancelled fails without either guard.

--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/yarrowgap/yarrowgap/internal/store"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -436,3 +438,48 @@
 		}
 	}
 }
+
+// Each answer that renews the lease of a machine with cancelled tasks carries their
+// stops: right after another stop that may be lost, and where a new leader has not
+// heard the machine under its token yet. It may be the last that gets through.
+func TestEachRenewalStopsWhatIsCancelled(t *testing.T) {
+	for _, recovered := range []bool{false, true} {
+		d := newDesk(t, false, nil, nil)
+		d.up("n-1")
+		job := wire.Job{ID: "run-000001", Tasks: 3, CPUs: 1, Team: "red", Shape: wire.ShapeArray, Rank: wire.RankNormal, Image: "img"}
+		d.submit(job)
+		d.answerAll(CallExecuted)
+		on := d.on("n-1")
+		token := d.token("n-1")
+		if recovered {
+			var records []wire.Item
+			for key, it := range d.items {
+				if strings.HasPrefix(key, store.BatchPrefix) {
+					records = append(records, it)
+				}
+			}
+			rec := store.JobRecord{Job: job, Cancelled: true}
+			d = newDesk(t, false, map[string]*LiveJob{job.ID: {Record: &rec, Stamp: 90}}, records)
+			d.ticks["n-1"] = 100
+		} else {
+			d.l.Cancelled(d.clock(), []string{job.ID})
+			d.settle()
+		}
+		if len(on) != 3 || len(d.calls) != 1 {
+			t.Fatalf("%d tasks, %d direct calls", len(on), len(d.calls))
+		}
+		for range 4 {
+			d.now += tuning.HaltRepeat / 8
+			reply, ok := d.l.Checkin(d.clock(), d.view("n-1", token, on...))
+			stops := 0
+			for _, o := range reply.Commands {
+				if o.Verb == wire.VerbHalt {
+					stops++
+				}
+			}
+			if !ok || stops != 3 {
+				t.Errorf("recovered: %v; an answer renews the lease and stops %d of 3 cancelled tasks", recovered, stops)
+			}
+		}
+	}
+}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -29,7 +29,7 @@
 			m.heardAt, m.vain, l.heardAny = now.Mono, 0, now.Mono
 			// A lease that is kept has to bring stops with it: where releases get no
 			// answer for long, cancelled tasks would run on here past their time.
-			reply.Commands = l.halts(m)
+			reply.Commands = l.halts(m, true)
 		}
 		return reply, true
 	}
@@ -514,11 +514,10 @@
 
 // commandsFor gathers what the answer to a report carries.
 func (l *Leader) commandsFor(m *machine, r *wire.Report) []wire.Command {
-	cmds := []wire.Command{}
+	cmds := l.halts(m, true)
 	if Term(r.Token) != l.term && len(m.tasks) > 0 && !m.confirmed {
 		return cmds
 	}
-	cmds = append(cmds, l.halts(m)...)
 	cmds = append(cmds, m.extras...)
 	m.extras = nil
 	for _, a := range l.dueStarts(m) {
@@ -560,11 +559,13 @@
 	return wire.Command{Verb: wire.VerbRun, Task: wire.TaskName(a.ref.job, a.ref.index), Attempt: a.number}
 }
 
-// halts gathers the stops that are due.
-func (l *Leader) halts(m *machine) []wire.Command {
+// halts gathers the stops that are due. An answer to a report renews the worker's
+// lease, so it carries those of cancelled tasks each time: the last one may have been
+// lost, and if nothing reaches the machine from now on, they run for a whole lease.
+func (l *Leader) halts(m *machine, renewal bool) []wire.Command {
 	var due []*attempt
 	for _, a := range m.tasks {
-		if a.halt && a.sent && (a.haltedAt == 0 || l.now.Mono-a.haltedAt >= tuning.HaltRepeat) {
+		if a.halt && a.sent && (a.haltedAt == 0 || l.now.Mono-a.haltedAt >= tuning.HaltRepeat || renewal && a.job != nil && a.job.cancelled) {
 			due = append(due, a)
 		}
 	}
@@ -653,7 +654,7 @@
 		m.callAgain = true
 		return
 	}
-	cmds := l.halts(m)
+	cmds := l.halts(m, false)
 	cmds = append(cmds, m.extras...)
 	m.extras = nil
 	starts := l.dueStarts(m)
--- a/internal/guards/node_test.go
+++ b/internal/guards/node_test.go
@@ -19,8 +19,22 @@
 	{
 		meeting: "a release gets no answer while jobs on the machine are cancelled",
 		file:    "internal/core/report.go",
-		cut:     "reply.Commands = l.halts(m)",
+		cut:     "reply.Commands = l.halts(m, true)",
 		put:     "",
 		test:    "internal/core:^TestCancelledOnAMachineBeingReleased$",
 	},
+	{
+		meeting: "a stop is lost, and then nothing reaches the machine any more",
+		file:    "internal/core/report.go",
+		cut:     " || renewal && a.job != nil && a.job.cancelled",
+		put:     "",
+		test:    "internal/core:^TestEachRenewalStopsWhatIsCancelled$",
+	},
+	{
+		meeting: "a new leader renews a lease before it has heard the machine under its token",
+		file:    "internal/core/report.go",
+		cut:     "	cmds := l.halts(m, true)\n",
+		put:     "	cmds := []wire.Command{}\n",
+		test:    "internal/core:^TestEachRenewalStopsWhatIsCancelled$",
+	},
 }
