Machines that are given back and report again are told to stop cancelled tasks

Cause: a report of a machine in phase releasing was answered with the token alone, which renews its lease. While no release is answered, or none can be repeated since the lead's own lease is in doubt in an outage, a cancelled task there was kept alive for as long as that lasts (ran_cancelled). The answer now carries the stops that are due; that the task is gone is still proven only by the answer to the release or by a report after it was refused.

Test: TestCancelledOnAMachineThatIsGivenBack; without the guard 0 stops in 3 answers.

--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -27,7 +27,10 @@
 		if r.Newer(m.session, m.tick) {
 			m.heardAt, m.vain, l.heardAny = now.Mono, 0, now.Mono
 		}
-		return wire.CheckinReply{Token: l.token(m)}, true
+		// Stops go along: no answer to the release may come for long, nor can it be
+		// asked for again while the lease of the lead is in doubt, and a cancelled
+		// task would be kept alive beyond its time.
+		return wire.CheckinReply{Token: l.token(m), Commands: l.halts(m)}, true
 	}
 	// A copy of an earlier report, however late it comes, is no sign of life and
 	// changes nothing.
