A cancellation that overtakes the watch's answer with its job is kept

Cause: a peer lists each cancellation once. The leader passed over those of jobs that it did not know yet; an older answer of the watch, slow on its way, then brought the job as new, and it was started. By the peers' lists the leader counted as knowing all cancellations, so with the state service out of reach nothing bounded that. Now they are kept until the watch has them as cancelled or ended. A job that comes as cancelled is also ended at once, which so far waited for the next leader.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -319,6 +319,7 @@
 	zoneHeard  map[string]time.Duration // see ZoneHeard
 	zoneBack   map[string]time.Duration // when a zone was last silent as a whole
 	knewAsOf   time.Duration            // see KnowsAsOf
+	ahead      map[string]bool          // cancelled jobs that the watch has yet to bring
 	heldTo     time.Duration            // until then the lead is ours for certain
 	tickAt     time.Duration            // last tick
 	thawedAt   time.Duration            // when this process last went on after it stood still
@@ -372,7 +373,7 @@
 		commits: map[uint64]*commitState{}, calls: map[uint64]*callState{},
 		rentals: map[string]*rentalState{}, noCap: map[offer]time.Duration{},
 		gone: map[string]bool{}, zoneHeard: map[string]time.Duration{}, zoneBack: map[string]time.Duration{}, pushDue: map[string]bool{}, batches: map[string]*batch{},
-		dirtyJobs: map[*job]bool{}, pausing: map[*job]bool{},
+		dirtyJobs: map[*job]bool{}, pausing: map[*job]bool{}, ahead: map[string]bool{},
 		budget: cfg.WriteRate, budgetAt: now.Mono,
 		heardAny: now.Mono, tickAt: now.Mono, startedAt: now.Mono, dirtyPlace: true, placedAt: now.Mono - time.Second,
 	}
@@ -596,11 +597,18 @@
 	l.now = now
 	for _, c := range touched {
 		j := l.jobs[c.ID]
+		if c.Live == nil || c.Live.Record.Cancelled {
+			delete(l.ahead, c.ID)
+		}
 		switch {
 		case c.Live == nil && j != nil:
 			l.dropJob(j)
 		case c.Live != nil && j == nil:
 			j = l.addJob(c.Live)
+			// An answer of the watch may be older than a peer's list, which is told
+			// once: a job that it has as new may have been cancelled since.
+			j.cancelled = j.cancelled || l.ahead[c.ID]
+			l.finish(j)
 			l.dirtyPlace = true
 			l.line(true, "job seen", "job", j.id, "class", j.spec.Class, "tasks", j.spec.Tasks, "team", j.spec.Team, "estimate_s", j.spec.EstimateS, "due_s", j.dues)
 		case c.Live != nil && c.Live.Stamp > j.stamp:
@@ -629,10 +637,16 @@
 }
 
 // Cancelled tells the leader of jobs that are durably cancelled, ahead of the watch.
+// Those that it does not know yet are kept until the watch has them as cancelled or
+// ended: at most as many as the nodes' lists are long, and a few that overtook it.
 func (l *Leader) Cancelled(now Now, ids []string) {
 	l.now = now
 	for _, id := range ids {
-		if j := l.jobs[id]; j != nil && !j.cancelled && !j.archived {
+		j := l.jobs[id]
+		switch {
+		case j == nil:
+			l.ahead[id] = true
+		case !j.cancelled && !j.archived:
 			l.cancelJob(j)
 		}
 	}
