--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -142,3 +142,71 @@
 		}
 	}
 }
+
+// A machine may be given back although it reports again, and no answer to that comes
+// for long. Until then its lease is kept, so its tasks of cancelled jobs are stopped.
+func TestCancelledOnAMachineThatIsGivenBack(t *testing.T) {
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1", "n-2")
+	d.submit(wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1, Shape: wire.ShapeService, Rank: wire.RankProduction})
+	on := d.calls[0].Machine
+	d.answerAll(CallExecuted)
+	other := map[string]string{"n-1": "n-2", "n-2": "n-1"}[on]
+	for range 15 {
+		d.pass(time.Second, other)
+		d.answerAll(CallLost)
+	}
+	if len(d.rel) != 1 || d.rel[0][0] != on {
+		t.Fatalf("released: %v", d.rel)
+	}
+	tasks := d.on(on)
+	d.l.Cancelled(d.clock(), []string{"run-000001"})
+	d.settle()
+	halts := 0
+	for range 3 {
+		d.l.Released(d.clock(), d.rel[0], ReleaseUnknown)
+		for _, o := range d.report(on, tasks...).Commands {
+			if o.Verb == wire.VerbHalt && o.Task == tasks[0].Task && o.Attempt == tasks[0].Attempt {
+				halts++
+			}
+		}
+		d.now += tuning.HaltRepeat
+	}
+	if halts != 3 {
+		t.Errorf("%d stops in 3 answers that keep the machine's lease", halts)
+	}
+	if s := d.starts(); len(s) != 0 {
+		t.Errorf("started beside that: %v", s)
+	}
+	if _, ended := d.items[store.EndedKey("run-000001")]; ended {
+		t.Error("the job was ended without proof that its task is gone")
+	}
+}
+
+// A peer's list of cancellations comes once, and may come before an older answer of
+// the watch, which has the job as new: it is not started.
+func TestCancelledBeforeItIsKnown(t *testing.T) {
+	j := wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1, Team: "red", Shape: wire.ShapeService, Rank: wire.RankProduction, Image: "img"}
+	seen := func(d *desk, cancelled bool) {
+		d.rev++
+		d.l.JobsChanged(d.clock(), []Changed{{j.ID, &LiveJob{Record: &store.JobRecord{Job: j, Cancelled: cancelled}, Stamp: d.rev}}})
+		d.now += tuning.PlaceGap
+		d.settle()
+	}
+	d := newDesk(t, false, nil, nil)
+	d.up("n-1", "n-2")
+	d.l.Cancelled(d.clock(), []string{j.ID})
+	seen(d, false)
+	d.pass(2*time.Second, "n-1", "n-2")
+	if s := d.starts(); len(s) != 0 {
+		t.Fatalf("started though it is cancelled: %v", s)
+	}
+	seen(d, true)
+	d.pass(2*time.Second, "n-1", "n-2")
+	if _, ended := d.items[store.EndedKey(j.ID)]; !ended {
+		t.Error("the job was not ended though nothing of it is left")
+	}
+	if len(d.l.ahead) != 0 {
+		t.Errorf("kept after the watch brought it: %v", d.l.ahead)
+	}
+}
