Tests: changes of leadership, outages and cuts that meet cancellations

Ten meetings with generated times, in twelve worlds each; the stand-in watch can be slow and the stand-in cloud silent about releases.

--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -48,6 +48,8 @@
 	trouble   bool // faults go on
 	lying     bool // the cloud answers releases without carrying them out
 	cloudDown bool
+	slow      time.Duration // the state service's answers to watches take seconds until then
+	mute      time.Duration // the cloud neither answers nor carries out releases until then
 	lose      float64
 	hold      float64
 	repeat    float64
@@ -83,6 +85,7 @@
 	dead    time.Duration // until then
 	frozen  time.Duration // until then: it does nothing, and then what came meanwhile
 	born    time.Duration // its process's start
+	waits   bool          // for a slow answer to its watch
 	known   time.Duration // as of when its replica has all changes
 	vouched map[*simNode]time.Duration
 	told    []string      // cancellations that users were told of here
@@ -434,7 +437,7 @@
 
 func (n *simNode) crash(d time.Duration) {
 	n.leader, n.replica, n.ledTerm = nil, core.NewReplica(), 0
-	n.known, n.told, n.frozen = 0, nil, 0
+	n.known, n.told, n.frozen, n.waits = 0, nil, 0, false
 	n.dead = n.w.now + d
 	n.born = n.dead
 	n.boot++
@@ -498,12 +501,36 @@
 	if n.leader == nil || !n.stateOK() {
 		return
 	}
+	if n.waits {
+		return // one watch at a time
+	}
 	c, ok := n.w.state.Changes(n.w.now, store.JobsPrefix, n.replica.Epoch)
 	if !ok {
 		panic("the stand-in forgot changes")
 	}
+	asked, l, boot := n.w.now, n.leader, n.boot
+	if n.w.now >= n.w.slow {
+		n.watched(c, asked)
+		return
+	}
+	n.waits = true
+	n.w.after(n.w.between(500, 2500), func() {
+		n.unfrozen(func() {
+			if n.boot != boot {
+				return
+			}
+			// An answer that comes after a refusal began is none: the watch waits then.
+			if n.waits = false; n.leader == l && n.stateOK() {
+				n.watched(c, asked)
+			}
+		})
+	})
+}
+
+// watched takes a watch's answer to what was asked then.
+func (n *simNode) watched(c wire.Changes, asked time.Duration) {
 	n.leader.KnowsAsOf(n.asOf())
-	n.known = n.w.now
+	n.known = max(n.known, asked)
 	touched, bad := n.replica.Apply(c)
 	if len(bad) > 0 {
 		panic(fmt.Sprint("unreadable records: ", bad))
@@ -630,6 +657,10 @@
 				with(func() { l.Released(w.coreNow(), names, core.ReleaseRefused) })
 				return
 			}
+			if w.now < w.mute {
+				w.after(tuning.CloudTimeout, func() { with(func() { l.Released(w.coreNow(), names, core.ReleaseUnknown) }) })
+				return
+			}
 			kill := func() {
 				for _, name := range names {
 					w.workers[name].Kill()
@@ -828,12 +859,16 @@
 
 // cancel asks for a job's cancellation until it gets an answer.
 func (w *world) cancel(id string) {
-	again := func() { w.cancel(id) }
-	n := w.server()
-	if n == nil {
-		w.after(2*time.Second, again)
+	if n := w.server(); n != nil {
+		w.cancelAt(n, id)
 		return
 	}
+	w.after(2*time.Second, func() { w.cancel(id) })
+}
+
+// cancelAt asks a node, and another one if that gives no answer.
+func (w *world) cancelAt(n *simNode, id string) {
+	again := func() { w.cancel(id) }
 	it := w.state.Get(w.now, store.JobKey(id))
 	if it.Stamp == 0 {
 		if w.state.Get(w.now, store.EndedKey(id)).Stamp == 0 {
--- a/internal/guards/leader_test.go
+++ b/internal/guards/leader_test.go
@@ -2,6 +2,48 @@
 
 // leaderGuards are those of changes of leadership and of cancellations.
 var leaderGuards = []guard{
+	{
+		meeting: "all controllers are away for longer than a lease, and jobs were cancelled right before",
+		file:    "internal/core/leader.go",
+		cut:     "cancelled: rec.Cancelled,",
+		put:     "cancelled: false,",
+		test:    "internal/core:^TestLeadershipMeetings$/^controllers_away$",
+	},
+	{
+		meeting: "the state service answers slowly, and a peer's list overtakes the answer with the job",
+		file:    "internal/core/leader.go",
+		cut:     "j.cancelled = j.cancelled || l.ahead[c.ID]",
+		put:     "",
+		test:    "internal/core:^TestCancelledBeforeItIsKnown$",
+	},
+	{
+		meeting: "the same, then it refuses the leader alone and then everybody",
+		file:    "internal/core/leader.go",
+		cut:     "j.cancelled = j.cancelled || l.ahead[c.ID]",
+		put:     "",
+		test:    "internal/core:^TestLeadershipMeetings$/^slow_then_refused$",
+	},
+	{
+		meeting: "the state service refuses the leader alone and then everybody, and the confirming node fails or an answer is lost",
+		file:    "internal/core/leader.go",
+		cut:     "case !j.cancelled && !j.archived:",
+		put:     "case false:",
+		test:    "internal/core:^TestLeadershipMeetings$/^refused_then_out_and_confirmer_fails$",
+	},
+	{
+		meeting: "jobs are cancelled at the moment at which the leader alone is refused, and everybody a second later",
+		file:    "internal/core/leader.go",
+		cut:     "case !j.cancelled && !j.archived:",
+		put:     "case false:",
+		test:    "internal/core:^TestLeadershipMeetings$/^refused_then_out$",
+	},
+	{
+		meeting: "jobs are cancelled while one leader's work changes hands",
+		file:    "internal/core/leader.go",
+		cut:     "if j := l.jobs[id]; j.cancelled {",
+		put:     "if j := l.jobs[id]; false && j.cancelled {",
+		test:    "internal/core:^TestLeadershipMeetings$/^handover$",
+	},
 	{
 		meeting: "jobs are cancelled at a node that recovers as the next leader",
 		file:    "internal/node/election.go",
@@ -10,11 +52,53 @@
 		test:    "internal/node:^TestCancelledWhileRecovering$",
 	},
 	{
-		meeting: "a peer's list overtakes a slow answer of the state service",
+		meeting: "controllers hand over and back, all end and one returns within a second",
 		file:    "internal/core/leader.go",
-		cut:     "j.cancelled = j.cancelled || l.ahead[c.ID]",
+		cut:     "\t\tl.addRecord(it)\n",
+		put:     "\t\t_ = it\n",
+		test:    "internal/core:^TestLeadershipMeetings$/^back_and_forth$",
+	},
+	{
+		meeting: "ten leaders in two minutes",
+		file:    "internal/core/report.go",
+		cut:     "if r.Token < l.term<<tuning.FenceBits|a.needFence {",
+		put:     "if false {",
+		test:    "internal/core:^TestLeadershipMeetings$/^ten_leaders$",
+	},
+	{
+		meeting: "a zone is cut off for longer than a lease, and releases are not answered",
+		file:    "internal/core/fleet.go",
+		cut:     "\t\t\tif !a.sent {\n\t\t\t\tl.detach(a)",
+		put:     "\t\t\tif true {\n\t\t\t\tl.detach(a)",
+		test:    "internal/core:^TestLeadershipMeetings$/^zone_cut$",
+	},
+	{
+		meeting: "a zone is cut off, and a node in it keeps its workers alive",
+		file:    "internal/node/workers.go",
+		cut:     " && time.Since(n.led) < n.KeepaliveBound()",
 		put:     "",
-		test:    "internal/core:^TestCancelledBeforeItIsKnown$",
+		test:    "internal/node:^TestFollowerInACut$",
+	},
+	{
+		meeting: "a zone is cut off, and its workers have a token of an earlier term than the node in it",
+		file:    "internal/node/workers.go",
+		cut:     "core.Term(r.Token) == n.lead.term",
+		put:     "core.Term(r.Token) <= n.lead.term",
+		test:    "internal/node:^TestFollowerInACut$",
+	},
+	{
+		meeting: "a leader that could not stop everything is cut off from the node that keeps workers alive",
+		file:    "internal/core/leader.go",
+		cut:     "at = min(at, j.knewAsOf)",
+		put:     "_ = j",
+		test:    "internal/core:^TestMeetings$/^a_leader_that_no_worker_reaches",
+	},
+	{
+		meeting: "a leader is cut from the state service and its peers, and its successor is told of cancellations while it recovers",
+		file:    "internal/core/leader.go",
+		cut:     "if j := l.jobs[id]; j.cancelled {",
+		put:     "if j := l.jobs[id]; false && j.cancelled {",
+		test:    "internal/core:^TestLeadershipMeetings$/^leader_cut$",
 	},
 	{
 		meeting: "a job is cancelled whose machine is given back, and the cloud does not answer",
@@ -23,4 +107,11 @@
 		put:     "return wire.CheckinReply{Token: l.token(m)}, true",
 		test:    "internal/core:^TestCancelledOnAMachineThatIsGivenBack$",
 	},
+	{
+		meeting: "the same, and the state service refuses the leader alone and then everybody",
+		file:    "internal/core/report.go",
+		cut:     "return wire.CheckinReply{Token: l.token(m), Commands: l.halts(m)}, true",
+		put:     "return wire.CheckinReply{Token: l.token(m)}, true",
+		test:    "internal/core:^TestLeadershipMeetings$/^given_back_without_an_answer$",
+	},
 }
