Workers are kept alive in a cut by the word of their own leader alone

Cause: the moment as of which a leader had seen all cancellations through was kept when a node learned of the next leader. One that stood still while another one led reads all cancellations when it goes on; if it hears of the other before its renewal fails, it steps down with that moment as of now, though it knows nothing of the tasks that the other started. Cut off with its zone right then, it would have kept alive workers of the other's term for as much longer than a cancellation leaves time for. The moment now ends with the term; a ping that tells of a new term sets it at once if its leader is ready.

Test: TestKeptAliveByTheWordOfTheirLeader; without the guard a worker of term 10 is answered with 200 by the word of the leader of term 9.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -535,9 +535,6 @@
 					if begun.After(p.heard) {
 						p.heard, p.served = begun, pong.Served
 					}
-					if pong.Term == n.lead.term && pong.LedMilli > 0 {
-						n.led = later(n.led, begun.Add(-time.Duration(pong.LedMilli)*time.Millisecond))
-					}
 					p.idle = pong.Leader == p.Name && !pong.Leading
 					n.leaderKnows()
 					p.vouches(pong, begun, time.Now())
@@ -546,6 +543,9 @@
 					}
 					p.running = pong.Running
 					n.hearLead(pong.Leader, pong.Term)
+					if pong.Term == n.lead.term && pong.LedMilli > 0 {
+						n.led = later(n.led, begun.Add(-time.Duration(pong.LedMilli)*time.Millisecond))
+					}
 				})
 			}
 		}()
@@ -571,6 +571,12 @@
 	permit := uint64(0)
 	if n.lead.term == term {
 		permit = n.lead.permit
+	} else {
+		// What a leader says to be seen through is so for what it can have started. One
+		// that stood still, and does not know yet of the next, reads all cancellations
+		// when it goes on, and nothing of that one's tasks: workers that have a later
+		// token are kept alive by its leader's word alone.
+		n.led = time.Time{}
 	}
 	n.lead = leadInfo{name: name, term: term, permit: permit}
 	if p := n.peers[name]; p != nil {
