--- a/internal/guards/leader_test.go
+++ b/internal/guards/leader_test.go
@@ -86,6 +86,13 @@
 		put:     "core.Term(r.Token) <= n.lead.term",
 		test:    "internal/node:^TestFollowerInACut$",
 	},
+	{
+		meeting: "a leader stands still while another one leads, and goes on as a zone is cut off",
+		file:    "internal/node/node.go",
+		cut:     "\t\tn.led = time.Time{}\n",
+		put:     "",
+		test:    "internal/node:^TestKeptAliveByTheWordOfTheirLeader$",
+	},
 	{
 		meeting: "a leader that could not stop everything is cut off from the node that keeps workers alive",
 		file:    "internal/core/leader.go",
--- a/internal/node/asof_test.go
+++ b/internal/node/asof_test.go
@@ -129,3 +129,37 @@
 		t.Error("answered though a peer has started anew")
 	}
 }
+
+// A leader stands still, and another one leads meanwhile. When the first goes on it
+// reads all cancellations and none of the other's tasks are in its books: as of then it
+// has seen nothing through for those, and neither has who heard it say so. Workers
+// that have the other's token are not kept alive by that.
+func TestKeptAliveByTheWordOfTheirLeader(t *testing.T) {
+	token := func(term uint64) uint64 { return term << tuning.FenceBits }
+	for _, led := range []bool{true, false} {
+		n := quietNode(t)
+		n.peers = map[string]*peer{"drover-1": {Peer: config.Peer{Name: "drover-1"}}, "drover-2": {Peer: config.Peer{Name: "drover-2"}}}
+		report := func(term uint64) int {
+			return n.Checkin(&wire.Report{Machine: "n-1", Address: "127.0.0.1:1", Type: "box", Zone: "a", Session: 1, Tick: 1, Token: token(term)}).Status
+		}
+		if led {
+			n.setLead(n.cfg.Node, 9)
+			n.leader, n.lost = core.NewLeader(n.now(), n.coreSettings(), 9, core.NewReplica(), nil, nil, nil), make(chan struct{})
+			n.knownAt = time.Now()
+		} else {
+			n.setLead("drover-1", 9)
+			n.led = time.Now()
+			if s := report(9); s != 200 {
+				t.Errorf("%d to a worker of the leader that has seen all through", s)
+			}
+		}
+		n.do(func() { n.hearLead("drover-2", 10) })
+		if s := report(10); s == 200 {
+			t.Errorf("led %v: a worker of the next leader is kept alive by the word of the last", led)
+		}
+		n.led = time.Now() // by the word of the next
+		if s := report(10); s != 200 {
+			t.Errorf("led %v: %d to a worker of the leader that has seen all through", led, s)
+		}
+	}
+}
