--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -231,6 +231,9 @@
 				// What came of their lists while nobody here led is gone: all again.
 				p.have, p.vouched = 0, time.Time{}
 			}
+			// Our own list is told to no one who asks: what users were told here between
+			// the read above and now, no answer of the watch may bring for long.
+			leader.Cancelled(n.now(), n.told.list)
 			leader.AckLatency = func(d time.Duration) { _ = n.ack.RecordValue(min(max(1, d.Milliseconds()), 600_000)) }
 			leader.Held(n.heldTo.Sub(n.start))
 			for _, p := range n.peers {
@@ -304,6 +307,9 @@
 		n.knownAt = later(n.knownAt, begun)
 		touched, bad := n.replica.Apply(c)
 		n.reportBad(bad)
+		if n.leader != nil {
+			n.leader.ReadAsOf(begun.Sub(n.start))
+		}
 		if n.leader != nil && len(touched) > 0 {
 			n.leader.JobsChanged(n.now(), touched)
 		}
@@ -325,6 +331,7 @@
 		n.knownAt = later(n.knownAt, begun)
 		n.reportBad(n.replica.Reset(items, epoch))
 		if n.leader != nil {
+			n.leader.ReadAsOf(begun.Sub(n.start))
 			n.leader.JobsReset(n.now(), n.replica)
 		}
 	})
