Tests: users at all nodes, lost answers and late transactions; stand-in decides fates

The stand-in's state service decides what becomes of each transaction: late, its answer lost, or held until a command; and lets answers to reads come late. Eleven guards taken out one at a time, and each test that names one fails then: 404 after acceptance, done after cancelled, cancelled after done, late submissions and cancellations that are carried out.

--- /dev/null
+++ b/internal/guards/answers_test.go
@@ -0,0 +1,110 @@
+package guards_test
+
+// answersGuards are those of what users are told, at all nodes, whatever becomes of the
+// transactions.
+var answersGuards = []guard{
+	{
+		meeting: "users ask at all nodes right after a job was accepted",
+		file:    "internal/node/users.go",
+		cut:     "if at, err = n.fresh(ctx); err != nil {",
+		put:     "if at = time.Now(); err != nil {",
+		test:    "internal/api:^TestNoNodeTellsAnOlderAnswer$",
+	},
+	{
+		meeting: "a question comes while an earlier one's read is out",
+		file:    "internal/node/users.go",
+		cut: `		c := n.next
+		n.next = nil
+		if c == nil {
+			n.active = false
+			n.syncMu.Unlock()
+			return
+		}
+		n.syncMu.Unlock()
+		c.err = n.syncOnce()
+`,
+		put: `		c := n.next
+		if c == nil {
+			n.active = false
+			n.syncMu.Unlock()
+			return
+		}
+		n.syncMu.Unlock()
+		c.err = n.syncOnce()
+		n.syncMu.Lock()
+		n.next = nil
+		n.syncMu.Unlock()
+`,
+		test: "internal/api:^TestQuestionsShareNoEarlierRead$",
+	},
+	{
+		meeting: "a submission is carried out after the job was cancelled",
+		file:    "internal/node/users.go",
+		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
+		put:     "If:    []wire.Condition{{Key: store.EndedKey(job.ID)}},",
+		test:    "internal/api:^TestLateWritesChangeNothing$/^submission_after_a_cancellation$",
+	},
+	{
+		meeting: "a submission is carried out after the job has ended as cancelled",
+		file:    "internal/node/users.go",
+		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
+		put:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}},",
+		test:    "internal/api:^TestLateWritesChangeNothing$/^submission_after_the_end_of_a_cancelled_job$",
+	},
+	{
+		meeting: "a submission is carried out after the job is done",
+		file:    "internal/node/users.go",
+		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
+		put:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}},",
+		test:    "internal/api:^TestLateWritesChangeNothing$/^submission_after_the_end_of_a_done_job$",
+	},
+	{
+		meeting: "a cancellation is carried out after the job is done",
+		file:    "internal/node/users.go",
+		cut:     "If:    []wire.Condition{{Key: store.JobKey(id), Stamp: live.Stamp}},",
+		put:     "",
+		test:    "internal/api:^TestLateWritesChangeNothing$/^cancellation_after_the_end$",
+	},
+	{
+		meeting: "a cancellation meets the end of a job's last task",
+		file:    "internal/node/users.go",
+		cut:     "If:    []wire.Condition{{Key: store.JobKey(id), Stamp: live.Stamp}},",
+		put:     "",
+		test:    "internal/api:^TestCancellationMeetsTheEnd$",
+	},
+	{
+		meeting: "the end of a done job is carried out after its cancellation",
+		file:    "internal/core/flush.go",
+		cut: `		t.t.If = append(t.t.If, wire.Condition{Key: store.JobKey(j.id), Stamp: j.stamp})
+		t.t.Apply = append(t.t.Apply,
+			wire.Change{Delete`,
+		put: `		t.t.Apply = append(t.t.Apply,
+			wire.Change{Delete`,
+		test: "internal/api:^TestLateWritesChangeNothing$/^end_of_a_done_job_after_a_cancellation$",
+	},
+	{
+		meeting: "the end of a job's last task meets its cancellation",
+		file:    "internal/core/flush.go",
+		cut: `		t.t.If = append(t.t.If, wire.Condition{Key: store.JobKey(j.id), Stamp: j.stamp})
+		t.t.Apply = append(t.t.Apply,
+			wire.Change{Delete`,
+		put: `		t.t.Apply = append(t.t.Apply,
+			wire.Change{Delete`,
+		test: "internal/api:^TestCancellationMeetsTheEnd$",
+	},
+	{
+		meeting: "done bits are written after a cancellation",
+		file:    "internal/core/flush.go",
+		cut: `				t.t.If = append(t.t.If, wire.Condition{Key: store.JobKey(j.id), Stamp: j.stamp})
+				t.t.Apply = append(t.t.Apply, wire.Change{Set: store.JobKey`,
+		put:  `				t.t.Apply = append(t.t.Apply, wire.Change{Set: store.JobKey`,
+		test: "internal/api:^TestLateWritesChangeNothing$/^done_bits_after_a_cancellation$",
+	},
+	{
+		meeting: "a submission is repeated whose answer was lost, after a cancellation",
+		file:    "internal/node/users.go",
+		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
+		put:     "",
+		test:    "internal/api:^TestNoOlderAnswerWhereAnswersAreLost$",
+	},
+}
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -35,6 +35,54 @@
 
 	refuses   bool // the state service refuses everybody
 	cloudDown bool
+	fate      func(wire.Txn) Fate
+	held      []wire.Txn
+	slow      func() time.Duration
+}
+
+// Fate is what becomes of a transaction. The zero value is carried out and answered.
+type Fate struct {
+	Delay time.Duration   // it comes to the service so much later
+	Until <-chan struct{} // if not nil, it comes to the service when this is closed
+	Lost  bool            // it is carried out; its answer is lost
+	Held  bool            // it gets no answer, and is carried out by ReleaseHeld
+}
+
+// Fates lets f decide what becomes of each transaction from now on; nil ends that.
+// Changes carry their values undecoded, as wire.Raw.
+func (s *Site) Fates(f func(wire.Txn) Fate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fate = f
+}
+
+// SlowReads lets d decide how much later than it was read each answer about changes
+// comes; nil ends that.
+func (s *Site) SlowReads(d func() time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
+// Held is how many transactions are held.
+func (s *Site) Held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
+// ReleaseHeld carries out the held transactions in the order in which they came, and
+// gives the status of each, which nobody else is told.
+func (s *Site) ReleaseHeld() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []int
+	for _, t := range s.held {
+		status, _ := s.state.Commit(s.now(), t)
+		out = append(out, status)
+	}
+	s.held = nil
+	return out
 }
 
 // NewSite makes a site. nodes are the controllers, by name.
@@ -127,7 +175,7 @@
 		}
 		reply(w, 200, it)
 	}))
-	m.HandleFunc("POST /commit", locked(func(w http.ResponseWriter, r *http.Request) {
+	m.HandleFunc("POST /commit", func(w http.ResponseWriter, r *http.Request) {
 		var t struct {
 			If    []wire.Condition `cbor:"if"`
 			Apply []struct {
@@ -137,17 +185,42 @@
 				Permit *uint64  `cbor:"permit"`
 			} `cbor:"apply"`
 		}
-		if err := body(r, &t); err != nil {
-			reply(w, 400, wire.Error{Error: err.Error()})
-			return
-		}
+		malformed := body(r, &t)
 		txn := wire.Txn{If: t.If}
 		for _, c := range t.Apply {
 			txn.Apply = append(txn.Apply, wire.Change{Set: c.Set, Delete: c.Delete, Value: c.Value, Permit: c.Permit})
 		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		var fate Fate
+		if s.fate != nil && malformed == nil && !s.refuses {
+			fate = s.fate(txn)
+		}
+		if fate.Delay > 0 || fate.Until != nil {
+			s.mu.Unlock()
+			time.Sleep(fate.Delay)
+			if fate.Until != nil {
+				<-fate.Until
+			}
+			s.mu.Lock()
+		}
+		switch {
+		case s.refuses:
+			reply(w, 503, wire.Error{Error: "down"})
+			return
+		case malformed != nil:
+			reply(w, 400, wire.Error{Error: malformed.Error()})
+			return
+		case fate.Held:
+			s.held = append(s.held, txn)
+			panic(http.ErrAbortHandler) // closes the connection without an answer
+		}
 		status, out := s.state.Commit(s.now(), txn)
+		if fate.Lost {
+			panic(http.ErrAbortHandler)
+		}
 		reply(w, status, out)
-	}))
+	})
 	m.HandleFunc("POST /holds", locked(func(w http.ResponseWriter, r *http.Request) {
 		var l wire.LeaseRequest
 		if body(r, &l) != nil || l.TTLMilli < 100 {
@@ -178,6 +251,10 @@
 			s.mu.Lock()
 			c, ok := s.state.Changes(s.now(), q.Get("starts"), from)
 			down := s.refuses
+			late := time.Duration(0)
+			if s.slow != nil {
+				late = s.slow()
+			}
 			s.mu.Unlock()
 			switch {
 			case !down && !ok:
@@ -187,6 +264,7 @@
 				if down {
 					reply(w, 503, wire.Error{Error: "down"})
 				} else {
+					time.Sleep(late)
 					reply(w, 200, c)
 				}
 				return
