Mend: a known job's repeated submission is never refused for good

Cause: a malformed body got 400 when the state service could not tell whether its job is known, and a body too long to record got 400 without asking, also where the job had been accepted: forgotten. Both ask now as other refusals do, and what cannot be told is 503.

--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -261,40 +261,26 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, tuning.SubmitPatience)
 	defer cancel()
+	fwd := mesh.Forward{Kind: mesh.Submit, Body: mesh.Text(body)}
 	job, err := wire.ParseJob(body)
 	if err != nil {
-		// A known job's repeated submission is answered with its state, even
-		// if the body has changed for the worse.
+		refusal := refuse(http.StatusBadRequest, err.Error())
 		if id := wire.IDOf(body); id != "" {
-			if v, found, kerr := n.known(ctx, id); kerr == nil && found {
-				return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: v.State}}
-			}
+			return n.unlessKnown(ctx, id, refusal, fwd, forwarded)
 		}
-		n.log.Info("submission refused", "status", http.StatusBadRequest, "why", err.Error())
-		return refuse(http.StatusBadRequest, err.Error())
+		n.log.Info("submission refused", "status", refusal.Status, "why", refusal.Error)
+		return refusal
 	}
-	fwd := mesh.Forward{Kind: mesh.Submit, Body: mesh.Text(body)}
 	n.mu.Lock()
 	types := n.types
 	n.mu.Unlock()
-	verdict := n.judge(job, types)
-	if verdict.Status != 0 {
-		v, found, err := n.known(ctx, job.ID)
-		switch {
-		case err != nil:
-			return n.pass(forwarded, fwd, err)
-		case found:
-			return Answer{Status: http.StatusOK, State: &wire.JobState{ID: job.ID, State: v.State}}
-		case verdict.Status == http.StatusServiceUnavailable && !forwarded:
-			return n.pass(false, fwd, errors.New(verdict.Error))
-		}
-		n.log.Info("submission refused", "job", job.ID, "status", verdict.Status, "why", verdict.Error)
-		return verdict
+	if verdict := n.judge(job, types); verdict.Status != 0 {
+		return n.unlessKnown(ctx, job.ID, verdict, fwd, forwarded)
 	}
 	job.CreatedMilli = time.Now().UnixMilli()
 	rec := store.JobRecord{Job: *job}
 	if float64(wire.JSONSize(rec)) > n.cfg.Deployment.State.ValueKB*1024*(1-tuning.ValueSlack)-float64(tuning.BitmapTasks)/6 {
-		return refuse(http.StatusBadRequest, "the job's description is too long")
+		return n.unlessKnown(ctx, job.ID, refuse(http.StatusBadRequest, "the job's description is too long"), fwd, forwarded)
 	}
 	t := wire.Txn{
 		If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},
@@ -362,6 +348,24 @@
 	return n.pass(asked, fwd, err)
 }
 
+// unlessKnown refuses a submission, whatever the reason, unless its job is known: a
+// repeated submission is answered with the job's state, even if the body has changed for
+// the worse. Where it cannot be told now whether the job is known, nothing is refused for
+// good: users do not retry after 400 and 422, and an accepted job would be forgotten.
+func (n *Node) unlessKnown(ctx context.Context, id string, refusal Answer, fwd mesh.Forward, forwarded bool) Answer {
+	v, found, err := n.known(ctx, id)
+	switch {
+	case err != nil:
+		return n.pass(forwarded, fwd, err)
+	case found:
+		return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: v.State}}
+	case refusal.Status == http.StatusServiceUnavailable && !forwarded:
+		return n.pass(false, fwd, errors.New(refusal.Error))
+	}
+	n.log.Info("submission refused", "job", id, "status", refusal.Status, "why", refusal.Error)
+	return refusal
+}
+
 // judge says whether a job can ever run. A zero status means that it can.
 func (n *Node) judge(j *wire.Job, types []wire.MachineType) Answer {
 	never := func(why string) Answer { return refuse(http.StatusUnprocessableEntity, why) }
