Tests: submissions wrong in each field, for new, known and ended jobs and in an outage

Generated from the protocol's fields: left out, null, of another type, out of range. Six guards taken out one at a time: TestOddSubmissions fails without each.

--- a/internal/api/answers_test.go
+++ b/internal/api/answers_test.go
@@ -505,3 +505,206 @@
 		t.Errorf("a late write was carried out: %v", got)
 	}
 }
+
+// fields are a submission's, as its user sends it.
+func fields(id string) map[string]any {
+	return map[string]any{
+		"uid": id, "docket": "c", "crew": "crew", "shape": "batch", "rank": "normal", "shifts": 1,
+		"cpus": 1.0, "gpus": 0.0, "memory_gb": 1.0, "kit": "img", "pull_gb": 0.1,
+		"breeds": nil, "pasture": nil, "together": false, "scatter": false, "loaners": false,
+		"reckon_s": 1.0, "tally_s": 0.0, "stow_s": 0.0, "due_s": nil,
+	}
+}
+
+// odd is a submission that is wrong in one way. A name starts with its field.
+type odd struct {
+	name   string
+	status int
+	fields func(id string) map[string]any
+}
+
+// oddities makes a submission wrong in every way that the protocol tells, field by field.
+func oddities() []odd {
+	var out []odd
+	add := func(status int, field, what string, v any) {
+		out = append(out, odd{field + " " + what, status, func(id string) map[string]any {
+			m := fields(id)
+			m[field] = v
+			return m
+		}})
+	}
+	nullable := map[string]bool{"breeds": true, "pasture": true, "due_s": true}
+	for field, v := range fields("") {
+		if field == "uid" {
+			continue // without a readable id, it is nobody's: see TestNobodysSubmission
+		}
+		var wrong []any
+		switch v.(type) {
+		case string:
+			wrong = []any{1, 1.5, true, []string{"a"}, map[string]any{}, []byte("batch"), ""}
+		case float64:
+			wrong = []any{"1", true, []float64{1}, map[string]any{}, math.NaN(), math.Inf(1), math.Inf(-1), -1.0, -1, 1e300}
+		case int:
+			wrong = []any{"1", true, 1.5, math.NaN(), 0, -1, 100_001, uint64(math.MaxUint64), []int{1}}
+		case bool:
+			wrong = []any{0, 1, "true", []bool{true}}
+		case nil:
+			wrong = []any{true, map[string]any{}, 1}
+			if field == "due_s" {
+				wrong = []any{true, "1", math.NaN(), math.Inf(1), -1.0, []float64{1}}
+			}
+		}
+		for _, x := range wrong {
+			add(400, field, fmt.Sprintf("%T %v", x, x), x)
+		}
+		if !nullable[field] {
+			add(400, field, "null", nil)
+			out = append(out, odd{field + " missing", 400, func(id string) map[string]any {
+				m := fields(id)
+				delete(m, field)
+				return m
+			}})
+		}
+	}
+	add(400, "shape", "unknown", "Batch")
+	add(400, "rank", "unknown", "high")
+	add(400, "breeds", "of numbers", []any{1})
+	add(400, "breeds", "with null", []any{nil})
+	long := make([]string, 40)
+	for i := range long {
+		long[i] = strings.Repeat("x", 190)
+	}
+	add(400, "breeds", "too long to record", append(long, "box"))
+	add(422, "crew", "unknown", "nobody")
+	add(422, "cpus", "over every type", 4.5)
+	add(422, "gpus", "over every type", 1.0)
+	add(422, "memory_gb", "over every type", 16.5)
+	add(422, "breeds", "unknown", []string{"barge"})
+	add(422, "breeds", "empty", []string{})
+	add(422, "pasture", "unknown", "z")
+	with := func(status int, name string, kv ...any) {
+		out = append(out, odd{name, status, func(id string) map[string]any {
+			m := fields(id)
+			for i := 0; i < len(kv); i += 2 {
+				m[kv[i].(string)] = kv[i+1]
+			}
+			return m
+		}})
+	}
+	with(422, "service over the limit", "shape", "daemon", "shifts", 9)
+	with(422, "service that spreads and is together", "shape", "daemon", "shifts", 2, "scatter", true, "together", true)
+	with(422, "service that spreads in one zone", "shape", "daemon", "shifts", 3, "scatter", true, "pasture", "a")
+	return out
+}
+
+// Whatever is wrong with a submission is said at once; nothing is made of it. A known job's
+// repeated submission gets the job's state, however its body has changed.
+func TestOddSubmissions(t *testing.T) {
+	c := start(t, 2)
+	send := func(i int, m map[string]any) (int, wire.JobView, bool) {
+		b, err := wire.Marshal(m)
+		if err != nil {
+			t.Error(err)
+		}
+		s, v, h := c.do(i, "POST", "/v2/runs", b)
+		return s, v, s != 503 || h.Get("Retry-After") != "" && h.Get("Connection") == "close"
+	}
+	known, ended := job(7001, 1), job(7002, 1)
+	c.site.Upload(known, time.Hour)
+	c.site.Upload(ended, 0)
+	for i := range c.addrs {
+		for _, j := range []*wire.Job{known, ended} {
+			c.until("acceptance", func() bool { s, _, _ := c.do(i, "POST", "/v2/runs", body(t, j)); return s == 201 || s == 200 })
+		}
+	}
+	c.until("completion", func() bool { _, v, _ := c.do(0, "GET", "/v2/runs/"+ended.ID, nil); return v.State == wire.JobDone })
+	all := oddities()
+	each := func(f func(k int, o odd)) {
+		var wg sync.WaitGroup
+		for part := range 16 {
+			wg.Go(func() {
+				for k := part; k < len(all); k += 16 {
+					f(k, all[k])
+				}
+			})
+		}
+		wg.Wait()
+	}
+	each(func(k int, o odd) {
+		fresh := fmt.Sprintf("run-%06d", 8000+k)
+		if s, _, _ := send(k%2, o.fields(fresh)); s != o.status {
+			t.Errorf("%s: %d, want %d", o.name, s, o.status)
+		}
+		if s, _, _ := c.do(1-k%2, "GET", "/v2/runs/"+fresh, nil); s != 404 {
+			t.Errorf("%s: then the job is known: %d", o.name, s)
+		}
+		if s, v, _ := send(k%2, o.fields(known.ID)); s != 200 || v.State != wire.JobPending && v.State != wire.JobRunning {
+			t.Errorf("%s, for a known job: %d %q", o.name, s, v.State)
+		}
+		if s, v, _ := send(1-k%2, o.fields(ended.ID)); s != 200 || v.State != wire.JobDone {
+			t.Errorf("%s, for a job that is done: %d %q", o.name, s, v.State)
+		}
+	})
+	// What cannot be told now is refused for now: it may be a known job's.
+	c.site.Refuse(true)
+	each(func(k int, o odd) {
+		if s, v, ok := send(k%2, o.fields(known.ID)); s != 503 || !ok {
+			t.Errorf("%s, for a known job in an outage: %d %q, said when to come back: %v", o.name, s, v.State, ok)
+		}
+	})
+}
+
+// A submission that names no job in a form that jobs have is malformed whoever sends it.
+func TestNobodysSubmission(t *testing.T) {
+	c := start(t, 1)
+	c.until("types", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, job(7101, 1))); return s == 201 })
+	for _, id := range []any{nil, "", 7101, true, []string{"run-007101"}, "run-", "run-1", "run-00710", "run-00710x", "run-007101 ", " run-007101",
+		"RUN-007101", "run_007101", "run-007101/0", "run-٠٠٧١٠١", "run-0071010071010071010", "run--07101", "run-+07101", "job-007101"} {
+		m := fields("")
+		m["uid"] = id
+		b, err := wire.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, _, _ := c.do(0, "POST", "/v2/runs", b); s != 400 {
+			t.Errorf("uid %v: %d", id, s)
+		}
+		if text, ok := id.(string); ok && text != "" && !strings.ContainsAny(text, " /") {
+			for _, q := range []struct{ method, path string }{{"GET", ""}, {"POST", "/withdraw"}} {
+				if s, _, _ := c.do(0, q.method, "/v2/runs/"+text+q.path, nil); s != 404 {
+					t.Errorf("%s %s%s: %d", q.method, text, q.path, s)
+				}
+			}
+		}
+	}
+}
+
+// What can run is accepted: each field at its bounds, what may be null left out, fields
+// that nobody knows, and an array that runs half at a time.
+func TestBoundsAreAccepted(t *testing.T) {
+	c := start(t, 1)
+	c.until("types", func() bool { s, _, _ := c.do(0, "POST", "/v2/runs", body(t, job(7201, 1))); return s == 201 })
+	for k, change := range []map[string]any{
+		{"shifts": 100_000}, {"cpus": 4}, {"cpus": 4.0, "memory_gb": 16.0}, {"breeds": []string{"barge", "box"}}, {"pasture": "a"}, {"due_s": 0.5},
+		{"shape": "daemon", "shifts": 8}, {"shape": "daemon", "scatter": true, "together": true, "pasture": "a"},
+		{"shifts": 5, "scatter": true, "together": true}, {"shifts": 5, "scatter": true, "pasture": "a"},
+		{"shape": "daemon", "shifts": 2, "together": true}, {"loaners": true}, {"colour": "blue", "size": []int{1}},
+	} {
+		m := fields(fmt.Sprintf("run-%06d", 7300+k))
+		for _, f := range []string{"breeds", "pasture", "due_s"} {
+			if k%2 == 0 {
+				delete(m, f)
+			}
+		}
+		for f, v := range change {
+			m[f] = v
+		}
+		b, err := wire.Marshal(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if s, _, _ := c.do(0, "POST", "/v2/runs", b); s != 201 {
+			t.Errorf("%v: %d", change, s)
+		}
+	}
+}
--- a/internal/guards/answers_test.go
+++ b/internal/guards/answers_test.go
@@ -107,4 +107,55 @@
 		put:     "",
 		test:    "internal/api:^TestNoOlderAnswerWhereAnswersAreLost$",
 	},
+	{
+		meeting: "a known job's submission is repeated with a malformed body while the state service is away",
+		file:    "internal/node/users.go",
+		cut: `	case err != nil:
+		return n.pass(forwarded, fwd, err)
+	case found:
+		return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: v.State}}
+	case refusal`,
+		put: `	case err == nil && found:
+		return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: v.State}}
+	case refusal`,
+		test: "internal/api:^TestOddSubmissions$",
+	},
+	{
+		meeting: "a known job's submission is repeated with another body, that can never run",
+		file:    "internal/node/users.go",
+		cut:     "return n.unlessKnown(ctx, job.ID, verdict, fwd, forwarded)",
+		put:     "return verdict",
+		test:    "internal/api:^TestOddSubmissions$",
+	},
+	{
+		meeting: "a known job's submission is repeated with a body that is too long",
+		file:    "internal/node/users.go",
+		cut:     `return n.unlessKnown(ctx, job.ID, refuse(http.StatusBadRequest, "the job's description is too long"), fwd, forwarded)`,
+		put:     `return refuse(http.StatusBadRequest, "the job's description is too long")`,
+		test:    "internal/api:^TestOddSubmissions$",
+	},
+	{
+		meeting: "a service is submitted whose tasks may not all be in the one zone that it allows",
+		file:    "internal/node/users.go",
+		cut:     `if (j.Service() || j.Gang()) && (j.Together || j.Zone != "") && j.ZoneCap() < j.Tasks {`,
+		put:     "if false {",
+		test:    "internal/api:^TestOddSubmissions$",
+	},
+	{
+		meeting: "a submission with an amount that is no number",
+		file:    "wire/job.go",
+		cut:     "!finite(*p) || ",
+		put:     "",
+		test:    "internal/api:^TestOddSubmissions$",
+	},
+	{
+		meeting: "a submission lacks a field that may not be left out",
+		file:    "wire/job.go",
+		cut: `	flag := func(field string, p *bool) bool {
+		if p == nil {
+			fail(field, "missing")`,
+		put: `	flag := func(field string, p *bool) bool {
+		if p == nil {`,
+		test: "internal/api:^TestOddSubmissions$",
+	},
 }
