Mend: absence is not noted across a reset of the copy of jobs

Cause: while a node's read of an ended key is out, the job may be accepted and end, and the node may pass over both changes by reading all live jobs anew (it becomes leader, or was too far behind). The note is now made only if there was no reset since.

--- a/internal/core/replica.go
+++ b/internal/core/replica.go
@@ -21,6 +21,7 @@
 type Replica struct {
 	Loaded bool
 	Epoch  uint64
+	Resets int // how often changes were passed over
 	Live   map[string]*LiveJob
 	ended  map[string]*list.Element
 	order  *list.List // of endedEntry, the most recently used first
@@ -41,6 +42,7 @@
 // their state never changes.
 func (r *Replica) Reset(items []wire.Item, epoch uint64) (bad []string) {
 	clear(r.absent) // changes were passed over
+	r.Resets++
 	r.Live = make(map[string]*LiveJob, len(items))
 	for _, it := range items {
 		rec, err := store.DecodeJob(it)
@@ -96,7 +98,8 @@
 }
 
 // Missing notes that there is no ended job of the id, by a read sent after the copy
-// was brought up to date. Until a change makes one, neither is there a live one.
+// was brought up to date, and not reset since: what a reset passed over may have been the
+// job's whole life. Until a change makes one, neither is there a live one.
 func (r *Replica) Missing(id string) {
 	if len(r.absent) >= tuning.JobsCached {
 		clear(r.absent)
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -151,7 +151,7 @@
 	n.mu.Lock()
 	live := n.replica.Live[id]
 	rec, ended := n.replica.Ended(id)
-	absent := n.replica.Absent(id)
+	absent, resets := n.replica.Absent(id), n.replica.Resets
 	if live != nil {
 		v = n.liveView(id, live)
 	}
@@ -171,7 +171,11 @@
 	}
 	if it.Stamp == 0 {
 		n.mu.Lock()
-		n.replica.Missing(id)
+		// While the read was out, the job may have come and ended in changes that a
+		// reset passed over: it would be unknown here for good.
+		if n.replica.Resets == resets {
+			n.replica.Missing(id)
+		}
 		n.mu.Unlock()
 		return v, false, at, nil
 	}
