--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -391,11 +391,6 @@
 	if !known {
 		return never("unknown team")
 	}
-	// Tasks that have to be there all at once, like those of the team's limit: by its own
-	// numbers no zone may hold them all, and it allows one. An array runs in parts.
-	if (j.Service() || j.Gang()) && (j.Together || j.Zone != "") && j.ZoneCap() < j.Tasks {
-		return never("tasks that may not all be in one zone are allowed only one")
-	}
 	if len(types) == 0 {
 		return refuse(http.StatusServiceUnavailable, "machine types not known yet")
 	}
