Placement: the share of old jobs is what they get ahead of others, no bound

An array that had missed all its deadlines and was four minutes old got a fifth of the cluster and nothing more, also where all else stood empty. A task larger than that share waited for good, nothing was rented for it, and as idle machines went back the share shrank. It now has a second turn after all others, without preemption.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -91,15 +91,18 @@
 	// Room under a team's limit that production waits for. Without this, lower
 	// work would take what it was stopped for, and be stopped again.
 	promised := map[string]Team{}
+	holds := map[*job]int{}
 	promise := func(j *job, n int) {
 		if j.rank == 0 {
 			p := promised[j.spec.Team]
-			p.CPUs += float64(n) * j.spec.CPUs
-			p.GPUs += float64(n) * j.spec.GPUs
-			promised[j.spec.Team] = p
+			p.CPUs += float64(n-holds[j]) * j.spec.CPUs
+			p.GPUs += float64(n-holds[j]) * j.spec.GPUs
+			promised[j.spec.Team], holds[j] = p, n
 		}
 	}
-	for _, j := range queue {
+	turns := len(queue)
+	for i := 0; i < len(queue); i++ {
+		j := queue[i]
 		n := j.pending()
 		if n == 0 {
 			continue
@@ -118,18 +121,21 @@
 				continue
 			}
 		}
+		promise(j, 0) // its own room, in its second turn
 		budget := l.teamRoom(j, promised[j.spec.Team])
 		if budget < n {
 			l.yieldTeam(j, n)
 		}
-		tries := min(n, budget)
+		tries, bounded := min(n, budget), false
 		switch {
 		case j.spec.Gang() || tries == 0: // a gang runs as a whole or not at all
 		case j.overdue:
 			tries = min(tries, l.beginWith(j, total))
-		case j.old:
+		case j.old && i < turns:
+			all := tries
 			tries = min(tries, int(max(0, r.oldRoom)/max(j.spec.CPUs, 0.1)))
 			r.oldRoom -= float64(tries) * j.spec.CPUs
+			bounded = tries < all
 		}
 		placed := 0
 		if j.spec.Gang() {
@@ -157,9 +163,18 @@
 		l.tellPlaced(j, placed)
 		rest := tries - placed
 		promise(j, n-placed)
+		if bounded && rest == 0 {
+			// The share of old jobs is what they get ahead of others, and no bound:
+			// what these leave is theirs too. Else a task larger than the share
+			// waited beside empty machines, and had none rented, for good.
+			queue = append(queue, j)
+			continue
+		}
 		if rest > 0 {
 			j.why = "no machine has room"
-			l.preempt(r, j, rest, math.Inf(1))
+			if i < turns {
+				l.preempt(r, j, rest, math.Inf(1))
+			}
 			left = append(left, want{j, min(n, budget) - placed})
 		} else if n > placed {
 			j.why = "its team is at its limit"
