Placement: machines that were freed for a job are not taken over by the next one

Two jobs for which the same machine was being freed each noted it as kept for itself, in turn, and each found it kept for the other when placement came to it. Where a stop took longer than the gap between two looks for room and rounds came a second apart, in a quiet cluster, both waited beside the room for good. Who came first keeps it until it has been placed or the time is over; production still goes before it.

--- a/internal/core/desk_test.go
+++ b/internal/core/desk_test.go
@@ -202,7 +202,9 @@
 	if j.Rank == "" {
 		j.Rank = wire.RankNormal
 	}
-	j.Image = "img"
+	if j.Image == "" {
+		j.Image = "img"
+	}
 	d.rev++
 	d.l.JobsChanged(d.clock(), []Changed{{j.ID, &LiveJob{Record: &store.JobRecord{Job: j}, Stamp: d.rev}}})
 	d.now += tuning.PlaceGap
@@ -276,12 +278,15 @@
 	on            map[string]map[string]*crewTask
 	begun, stayed map[string]time.Duration // when a job's first task started, and had run for 30 s
 	starts        int
+	slow          time.Duration        // how long a stopped task saves
+	fetch         func() time.Duration // how long an image takes; nil: no time
 }
 
 type crewTask struct {
-	r          wire.TaskReport
-	begun, end time.Duration
-	cause      string
+	r             wire.TaskReport
+	begun, end    time.Duration
+	cause         string
+	fetched, held time.Duration // has its image from then on; was stopped
 }
 
 func newCrew(d *desk, runs func(task, machine string) (time.Duration, string)) *crew {
@@ -318,12 +323,21 @@
 		switch have := c.on[m][o.Task]; {
 		case o.Verb == wire.VerbRun && (have == nil || have.r.Attempt != o.Attempt):
 			run, cause := c.runs(o.Task, m)
-			c.on[m][o.Task] = &crewTask{running(o), c.d.now, c.d.now + run, cause}
+			x := &crewTask{r: running(o), begun: c.d.now, end: c.d.now + run, cause: cause}
+			if c.fetch != nil {
+				x.fetched = c.d.now + c.fetch()
+				x.end += x.fetched - c.d.now
+			}
+			c.on[m][o.Task] = x
 			c.starts++
 			id, _, _ := wire.SplitTask(o.Task)
 			if _, ok := c.begun[id]; !ok {
 				c.begun[id] = c.d.now - c.from
 			}
+		case o.Verb == wire.VerbHalt && have != nil && have.r.Attempt == o.Attempt && c.slow > 0:
+			if have.held == 0 {
+				have.held, have.end, have.cause = c.d.now, min(have.end, c.d.now+c.slow), wire.CauseHalted
+			}
 		case o.Verb != wire.VerbRun && have != nil && have.r.Attempt == o.Attempt:
 			delete(c.on[m], o.Task)
 		}
@@ -337,6 +351,10 @@
 		if _, ok := c.stayed[id]; !ok && c.d.now-x.begun >= 30*time.Second {
 			c.stayed[id] = c.d.now - c.from
 		}
+		x.r.State = wire.TaskRunning
+		if x.fetched > c.d.now {
+			x.r.State = wire.TaskFetching
+		}
 		if x.end <= c.d.now {
 			x.r.State, x.r.Cause = wire.TaskExited, x.cause
 		}
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -855,7 +855,11 @@
 	made := 0
 	claim := func(m *machine) {
 		r.claimed[m] += j.spec.CPUs
-		m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
+		if m.keptFor == j.id || m.keptTo <= l.now.Mono || j.rank == 0 {
+			// Whom it is kept for already goes first. Two jobs that took it from each
+			// other, each found it kept for the other once the room was there.
+			m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
+		}
 		if z != nil {
 			z[m.zone]++
 		}
