Starts: none waits longer than 15 s to be sent again

The waits between probes double inside the task's time budget, which is as long as the job's deadline: with hours, the second copy of one lost start followed minutes later, on a machine in good health, and with a minute the sixth followed after 48 s. Seen before: TestLostStartIsSentAgainInTime, sent again after 47.84 s at the least budget, which is above the 30 s that it asks for.

--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -632,12 +632,16 @@
 }
 
 // probeWait divides the budget that is left at the first start into the set
-// number of probes, each wait twice the one before, none under the ack wait.
+// number of probes, each wait twice the one before, none under the ack wait, and none
+// for so long that its job would wait beside room.
 func (l *Leader) probeWait(a *attempt) time.Duration {
 	n := max(1, l.cfg.Policy.ProbeCount)
 	base := float64(l.horizon(a)-a.firstSent) / (math.Pow(2, float64(n)) - 1)
 	first := max(float64(l.cfg.Policy.AckWait), base)
-	return time.Duration(first * math.Pow(2, float64(min(a.probes, 30))))
+	wait := time.Duration(first * math.Pow(2, float64(min(a.probes, 30))))
+	// A budget of hours would put the second probe off by minutes: the task would wait
+	// on a machine that only lost one message.
+	return min(wait, max(l.cfg.Policy.AckWait, tuning.ProbeWaitMax))
 }
 
 // push sends a machine what is due for it, directly.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -129,6 +129,9 @@
 	// ProbeFloor is the shortest time that a start is probed for, however long
 	// its job has been queued: one wait and one more try.
 	ProbeFloor = 4 * time.Second
+	// ProbeWaitMax is the longest wait between two probes, however far off the
+	// deadline is: a sixth of the 90 s for which no job may wait beside room.
+	ProbeWaitMax = 15 * time.Second
 	// HaltRepeat is the pause between repeated stops of the same task.
 	HaltRepeat = 2 * time.Second
 	// ErrorBackoff is the first pause of a job after a failed attempt, doubled
