Placement: no job waits for its turn to fetch for more than a minute

Images are fetched one after the other on a machine, so that an array whose image is large waited for all that came before it, beside room on machines. One of which nothing is on any machine now waits for a minute of such room at the most; then the fetches share the rate.

--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -227,6 +227,7 @@
 	failedOn   map[string]bool
 	retryAt    time.Duration
 	waitSince  time.Duration // since when a task of it waits; 0: none does
+	turnSince  time.Duration // since when it has waited for machines with room to fetch other images; 0: it does not
 	dues       []float64     // see Leader.dues
 	placedOnce bool          // some task of it has been placed in this term
 	why        string        // why it waits, for people
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -230,6 +230,7 @@
 	z    map[string]int
 	same map[*machine]int
 	heap picks
+	held bool // some machine with room fetches another image
 }
 
 type pick struct {
@@ -258,6 +259,13 @@
 			p.heap = append(p.heap, pick{m, l.score(j, m, p.z, p.same[m])})
 		}
 	}
+	switch {
+	case len(p.heap) > 0:
+	case !p.held:
+		j.turnSince = 0
+	case j.turnSince == 0:
+		j.turnSince = l.now.Mono
+	}
 	heap.Init(&p.heap)
 	return p
 }
@@ -272,9 +280,14 @@
 		return false
 	}
 	// Fetches side by side share the machine's rate: one after the other, the
-	// first is there sooner and the last no later.
-	return (j.service || m.has(j.spec.Image) || !m.fetchingOther(j.spec.Image)) &&
-		len(m.tasks)+len(m.exited) < tuning.MachineTasks
+	// first is there sooner and the last no later. But a job of which nothing is on any
+	// machine does not wait for other jobs' turns for ever.
+	if patient := j.nActive > 0 || j.turnSince == 0 || l.now.Mono-j.turnSince < tuning.FetchTurn; patient &&
+		!j.service && !m.has(j.spec.Image) && m.fetchingOther(j.spec.Image) {
+		p.held = true
+		return false
+	}
+	return len(m.tasks)+len(m.exited) < tuning.MachineTasks
 }
 
 // next gives the best machine, or nil. Scores only grow as tasks are placed, so
@@ -298,6 +311,7 @@
 
 // took notes that a task went to the machine, which is at the top.
 func (p *picker) took(m *machine) {
+	p.j.turnSince = 0
 	if p.z != nil {
 		p.z[m.zone]++
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -164,6 +164,9 @@
 	// lower work is stopped on a machine that has the image. Its loss is at
 	// most what it ran so far.
 	WorthWarm = 0.5
+	// FetchTurn is how long a job may wait while machines with room fetch other jobs'
+	// images: under the 90 s for which none may wait beside room.
+	FetchTurn = 60 * time.Second
 	// WarmWait is how long a service waits for such room before it takes what
 	// there is. Starts are wanted within a second; stops take milliseconds.
 	WarmWait = 2 * time.Second
