Placement: what cannot be placed keeps no room from what can

Three causes, one bound (hostable): a production service whose zone has no machine kept its team's limit for itself, and its team's other work waited beside room; a gang that fits on no set of machines kept those that there are empty, by reserve and by preempt; and a gang that has to be together looked only in the zone of its first member's best machine, though another had room for all.

--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -123,8 +123,12 @@
 		}
 		promise(j, 0) // its own room, in its second turn
 		budget := l.teamRoom(j, promised[j.spec.Team])
-		if budget < n {
-			l.yieldTeam(j, n)
+		could := n
+		if j.rank == 0 || j.spec.Gang() {
+			could = l.hostable(j, n)
+		}
+		if budget < could {
+			l.yieldTeam(j, could)
 		}
 		tries, bounded := min(n, budget), false
 		switch {
@@ -145,7 +149,7 @@
 				continue
 			case tries < n:
 				j.why = "its team is at its limit"
-				promise(j, n)
+				promise(j, could)
 				continue
 			case l.placeGang(r, j, n):
 				l.tellPlaced(j, n)
@@ -162,7 +166,9 @@
 		}
 		l.tellPlaced(j, placed)
 		rest := tries - placed
-		promise(j, n-placed)
+		// Not what no machine could take: its team's other work would wait with it,
+		// beside room, for as long as there is no such machine.
+		promise(j, max(0, could-placed))
 		if bounded && rest == 0 {
 			// The share of old jobs is what they get ahead of others, and no bound:
 			// what these leave is theirs too. Else a task larger than the share
@@ -172,7 +178,7 @@
 		}
 		if rest > 0 {
 			j.why = "no machine has room"
-			if i < turns {
+			if i < turns && could > 0 {
 				l.preempt(r, j, rest, math.Inf(1))
 			}
 			left = append(left, want{j, min(n, budget) - placed})
@@ -371,10 +377,33 @@
 	return false
 }
 
-// placeGang places all waiting members of a gang, or none.
+// placeGang places all waiting members of a gang, or none. Where they have to be
+// together, each zone is tried: the best machine for the first of them may be in one
+// that has no room for the others.
 func (l *Leader) placeGang(r *round, j *job, n int) bool {
+	if !j.spec.Together || j.nActive > 0 {
+		return l.placeGangIn(r, j, n, "")
+	}
+	zones := map[string]bool{}
+	for _, m := range r.roomy {
+		zones[m.zone] = true
+	}
+	for _, z := range slices.Sorted(maps.Keys(zones)) {
+		if l.placeGangIn(r, j, n, z) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeGangIn places them in one zone; empty: in any.
+func (l *Leader) placeGangIn(r *round, j *job, n int, zone string) bool {
 	var placed []*attempt
 	p := l.newPicker(r, j)
+	if zone != "" {
+		p.heap = slices.DeleteFunc(p.heap, func(x pick) bool { return x.m.zone != zone })
+		heap.Init(&p.heap)
+	}
 	for range n {
 		m := p.next()
 		if m == nil {
@@ -437,6 +466,15 @@
 			best = z
 		}
 	}
+	fits := 0
+	for z, k := range room {
+		if z == best || !j.spec.Together {
+			fits += min(k, j.spec.ZoneCap())
+		}
+	}
+	if fits < n {
+		return // it fits only once there are more machines: keeping these empties them in vain
+	}
 	// Those that are emptiest are free soonest.
 	sort.SliceStable(list, func(a, b int) bool { return list[a].cpus < list[b].cpus })
 	taken := map[string]int{}
@@ -454,6 +492,49 @@
 	}
 }
 
+// hostable is how many of n waiting tasks of the job could go to the machines that
+// there are if all but production made way there. Of those that need machines yet, no
+// room is kept. What is on its way is waited for, for a while.
+func (l *Leader) hostable(j *job, n int) int {
+	if l.now.Mono-j.waitSince < tuning.PromiseFor {
+		return n
+	}
+	z := j.zones()
+	room := map[string]int{}
+	for _, m := range l.sorted() {
+		if !l.usable(m) || m.digested().blocked || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) {
+			continue
+		}
+		cpus, gpus, mem := m.mt.CPUs, m.mt.GPUs, m.mt.MemoryGB
+		for _, a := range m.tasks {
+			if a.job.rank == 0 || a.job == j {
+				cpus -= a.job.spec.CPUs
+				gpus -= a.job.spec.GPUs
+				mem -= a.job.spec.MemoryGB
+			}
+		}
+		k := float64(n)
+		for _, part := range [][2]float64{{cpus, j.spec.CPUs}, {gpus, j.spec.GPUs}, {mem, j.spec.MemoryGB}} {
+			if part[1] > 0 {
+				k = min(k, math.Floor(part[0]/part[1]+epsilon))
+			}
+		}
+		room[m.zone] = min(n, room[m.zone]+int(max(0, k)))
+	}
+	most, sum := 0, 0
+	for zone, k := range room {
+		most = max(most, k)
+		sum += min(k, j.spec.ZoneCap()-z[zone])
+	}
+	if j.spec.Together {
+		sum = most
+	}
+	if sum < n && j.spec.Gang() {
+		return 0 // it runs as a whole or not at all
+	}
+	return min(n, sum)
+}
+
 // queue orders the jobs that wait: production first, then what fits its team's
 // guarantee, then by rank and by how little time is left.
 func (l *Leader) queue(total float64) []*job {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -160,6 +160,10 @@
 	// KeepRoom is how long room that was made for a job is kept for it: stops
 	// and the write before a start take well under a second.
 	KeepRoom = 1500 * time.Millisecond
+	// PromiseFor is how long room, on machines or under its team's limit, is kept for a
+	// job that no machine could take even if all other work made way: about as long as
+	// stops take, and machines that come up within seconds.
+	PromiseFor = 10 * time.Second
 	// WorthWarm is how long an image's fetch has to take, in seconds, before
 	// lower work is stopped on a machine that has the image. Its loss is at
 	// most what it ran so far.
