Ends: one condition says when a job's end may be written

It stood in two places, so that taking one of them away showed nothing. Without it TestLimitsAcrossLeaders fails: the end of a cancelled job is written while its tasks are about, and the next leader does not know whose limit they count for (quota).

--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -77,6 +77,9 @@
 	return out
 }
 
+// over reports whether the job's end may be written. A cancelled one stays live until
+// nothing of it may be about: of what no live job has, a later leader would not know
+// whose limit it counts for.
 func (j *job) over() bool {
 	return j.nDone == j.spec.Tasks || j.cancelled && j.nActive == 0
 }
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -694,7 +694,7 @@
 
 // finish marks a job as due for its last write once nothing of it is left.
 func (l *Leader) finish(j *job) {
-	if j.nDone == j.spec.Tasks || j.cancelled && j.nActive == 0 {
+	if j.over() {
 		l.touch(j)
 	}
 }
