Tests: meetings of limits, room and load, and the guards that they need

Worlds: many one-task jobs at a slow state service, more work than room over slow links, teams at their limits across leaders, zones that lose machines. Each fails without its guard (internal/guards); the order of starts before ends in a transaction is not shown to be needed: TestManySmallJobs passes with either.

--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -56,6 +56,15 @@
 	settings  core.Settings
 	trace     bool // print what the leaders log
 	without   guard
+
+	slow     time.Duration // up to which links take longer
+	writes   float64       // changes a second that the state service takes; 0: any number
+	budget   float64       // changes that it takes now, as of budgeted
+	budgeted time.Duration
+	refused  int // transactions of leaders that were over it
+
+	changes    []int                    // that leaders asked for, by second; nil: not counted
+	acceptedAt map[string]time.Duration // when jobs were accepted; nil: not noted
 }
 
 // guard is what a world can do without, to show that its checker needs it.
@@ -149,6 +158,9 @@
 
 func (w *world) delay() time.Duration {
 	d := time.Duration(1+w.rng.IntN(20)) * time.Millisecond
+	if w.slow > 0 {
+		d += time.Duration(w.rng.Int64N(int64(w.slow)))
+	}
 	if w.chance(0.03) {
 		d += time.Duration(w.rng.IntN(800)) * time.Millisecond
 	}
@@ -666,6 +678,14 @@
 			done(core.CommitRefused, 0, nil)
 			return
 		}
+		if w.changes != nil {
+			w.changes[w.now/time.Second] += len(c.Txn.Apply)
+		}
+		if !w.takes(len(c.Txn.Apply)) {
+			w.refused++
+			done(core.CommitRefused, 0, nil)
+			return
+		}
 		if w.chance(w.lose) {
 			// No answer: carried out now, later, or not at all.
 			switch w.rng.IntN(3) {
@@ -756,6 +776,10 @@
 // write runs a node's transaction for a user. It may get no answer, and be carried
 // out all the same, then or later; the user comes again, by again.
 func (w *world) write(t wire.Txn, again func()) (status int) {
+	if !w.takes(len(t.Apply)) {
+		w.after(time.Second, again) // refused, with Retry-After
+		return 0
+	}
 	if !w.chance(w.lose) {
 		status, _ = w.state.Commit(w.now, t)
 		return status
@@ -785,6 +809,9 @@
 			Apply: []wire.Change{{Set: store.JobKey(j.ID), Value: store.JobRecord{Job: *j}}},
 		}, try) != 0 {
 			w.jobs = append(w.jobs, j)
+			if w.acceptedAt != nil {
+				w.acceptedAt[j.ID] = w.now
+			}
 		}
 	}
 	try()
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -118,6 +118,14 @@
 // Complete notes that a task has completed.
 func (r *Rules) Complete(task string) { r.completed[task] = true }
 
+// Limit is what a team may use at once, in CPUs.
+func (r *Rules) Limit(team string) float64 { return r.limits[team] }
+
+// LeftWaiting notes a job that waits beside room.
+func (r *Rules) LeftWaiting(now time.Duration, task, machine string, since time.Duration) {
+	r.broken("%v left_waiting: %s waits since %v while %s has room", now, task, since, machine)
+}
+
 // Completed reports whether a task has completed.
 func (r *Rules) Completed(task string) bool { return r.completed[task] }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -205,6 +205,14 @@
 	w.tasks, w.Gone = map[string]*wtask{}, true
 }
 
+// Each calls f with every attempt that the worker has, in the order of their tasks.
+func (w *Worker) Each(f func(task string, attempt uint64, exited bool)) {
+	for _, name := range w.names() {
+		t := w.tasks[name]
+		f(name, t.attempt, t.state == wire.TaskExited)
+	}
+}
+
 // LongLease makes the worker's lease outlast any test: a broken world in which
 // nothing but a true release ends a silent machine's tasks.
 func (w *Worker) LongLease() { w.lease = time.Hour }
