--- a/internal/core/meetings_leader_test.go
+++ b/internal/core/meetings_leader_test.go
@@ -48,7 +48,7 @@
 			// Answers to watches take seconds, and jobs are cancelled right after they
 			// were accepted, before the state service refuses the leader alone and then
 			// everybody.
-			w.slow = w.now + 10*time.Second
+			w.slowWatch = w.now + 10*time.Second
 			for i := range 30 {
 				id := fmt.Sprintf("run-%06d", 500+i)
 				w.after(w.between(0, 6000), func() {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -91,15 +91,18 @@
 	// Room under a team's limit that production waits for. Without this, lower
 	// work would take what it was stopped for, and be stopped again.
 	promised := map[string]Team{}
+	holds := map[*job]int{}
 	promise := func(j *job, n int) {
 		if j.rank == 0 {
 			p := promised[j.spec.Team]
-			p.CPUs += float64(n) * j.spec.CPUs
-			p.GPUs += float64(n) * j.spec.GPUs
-			promised[j.spec.Team] = p
+			p.CPUs += float64(n-holds[j]) * j.spec.CPUs
+			p.GPUs += float64(n-holds[j]) * j.spec.GPUs
+			promised[j.spec.Team], holds[j] = p, n
 		}
 	}
-	for _, j := range queue {
+	turns := len(queue)
+	for i := 0; i < len(queue); i++ {
+		j := queue[i]
 		n := j.pending()
 		if n == 0 {
 			continue
@@ -118,18 +121,25 @@
 				continue
 			}
 		}
+		promise(j, 0) // its own room, in its second turn
 		budget := l.teamRoom(j, promised[j.spec.Team])
-		if budget < n {
-			l.yieldTeam(j, n)
+		could := n
+		if j.rank == 0 || j.spec.Gang() {
+			could = l.hostable(j, n)
+		}
+		if budget < could {
+			l.yieldTeam(j, could)
 		}
-		tries := min(n, budget)
+		tries, bounded := min(n, budget), false
 		switch {
 		case j.spec.Gang() || tries == 0: // a gang runs as a whole or not at all
 		case j.overdue:
 			tries = min(tries, l.beginWith(j, total))
-		case j.old:
+		case j.old && i < turns:
+			all := tries
 			tries = min(tries, int(max(0, r.oldRoom)/max(j.spec.CPUs, 0.1)))
 			r.oldRoom -= float64(tries) * j.spec.CPUs
+			bounded = tries < all
 		}
 		placed := 0
 		if j.spec.Gang() {
@@ -139,7 +149,7 @@
 				continue
 			case tries < n:
 				j.why = "its team is at its limit"
-				promise(j, n)
+				promise(j, could)
 				continue
 			case l.placeGang(r, j, n):
 				l.tellPlaced(j, n)
@@ -156,10 +166,21 @@
 		}
 		l.tellPlaced(j, placed)
 		rest := tries - placed
-		promise(j, n-placed)
+		// Not what no machine could take: its team's other work would wait with it,
+		// beside room, for as long as there is no such machine.
+		promise(j, max(0, could-placed))
+		if bounded && rest == 0 {
+			// The share of old jobs is what they get ahead of others, and no bound:
+			// what these leave is theirs too. Else a task larger than the share
+			// waited beside empty machines, and had none rented, for good.
+			queue = append(queue, j)
+			continue
+		}
 		if rest > 0 {
 			j.why = "no machine has room"
-			l.preempt(r, j, rest, math.Inf(1))
+			if i < turns && could > 0 {
+				l.preempt(r, j, rest, math.Inf(1))
+			}
 			left = append(left, want{j, min(n, budget) - placed})
 		} else if n > placed {
 			j.why = "its team is at its limit"
@@ -215,6 +236,7 @@
 	z    map[string]int
 	same map[*machine]int
 	heap picks
+	held bool // some machine with room fetches another image
 }
 
 type pick struct {
@@ -243,6 +265,13 @@
 			p.heap = append(p.heap, pick{m, l.score(j, m, p.z, p.same[m])})
 		}
 	}
+	switch {
+	case len(p.heap) > 0:
+	case !p.held:
+		j.turnSince = 0
+	case j.turnSince == 0:
+		j.turnSince = l.now.Mono
+	}
 	heap.Init(&p.heap)
 	return p
 }
@@ -257,9 +286,14 @@
 		return false
 	}
 	// Fetches side by side share the machine's rate: one after the other, the
-	// first is there sooner and the last no later.
-	return (j.service || m.has(j.spec.Image) || !m.fetchingOther(j.spec.Image)) &&
-		len(m.tasks)+len(m.exited) < tuning.MachineTasks
+	// first is there sooner and the last no later. But a job of which nothing is on any
+	// machine does not wait for other jobs' turns for ever.
+	if patient := j.nActive > 0 || j.turnSince == 0 || l.now.Mono-j.turnSince < tuning.FetchTurn; patient &&
+		!j.service && !m.has(j.spec.Image) && m.fetchingOther(j.spec.Image) {
+		p.held = true
+		return false
+	}
+	return len(m.tasks)+len(m.exited) < tuning.MachineTasks
 }
 
 // next gives the best machine, or nil. Scores only grow as tasks are placed, so
@@ -283,6 +317,7 @@
 
 // took notes that a task went to the machine, which is at the top.
 func (p *picker) took(m *machine) {
+	p.j.turnSince = 0
 	if p.z != nil {
 		p.z[m.zone]++
 	}
@@ -342,10 +377,33 @@
 	return false
 }
 
-// placeGang places all waiting members of a gang, or none.
+// placeGang places all waiting members of a gang, or none. Where they have to be
+// together, each zone is tried: the best machine for the first of them may be in one
+// that has no room for the others.
 func (l *Leader) placeGang(r *round, j *job, n int) bool {
+	if !j.spec.Together || j.nActive > 0 {
+		return l.placeGangIn(r, j, n, "")
+	}
+	zones := map[string]bool{}
+	for _, m := range r.roomy {
+		zones[m.zone] = true
+	}
+	for _, z := range slices.Sorted(maps.Keys(zones)) {
+		if l.placeGangIn(r, j, n, z) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeGangIn places them in one zone; empty: in any.
+func (l *Leader) placeGangIn(r *round, j *job, n int, zone string) bool {
 	var placed []*attempt
 	p := l.newPicker(r, j)
+	if zone != "" {
+		p.heap = slices.DeleteFunc(p.heap, func(x pick) bool { return x.m.zone != zone })
+		heap.Init(&p.heap)
+	}
 	for range n {
 		m := p.next()
 		if m == nil {
@@ -408,6 +466,15 @@
 			best = z
 		}
 	}
+	fits := 0
+	for z, k := range room {
+		if z == best || !j.spec.Together {
+			fits += min(k, j.spec.ZoneCap())
+		}
+	}
+	if fits < n {
+		return // it fits only once there are more machines: keeping these empties them in vain
+	}
 	// Those that are emptiest are free soonest.
 	sort.SliceStable(list, func(a, b int) bool { return list[a].cpus < list[b].cpus })
 	taken := map[string]int{}
@@ -425,6 +492,58 @@
 	}
 }
 
+// hostable is how many of n waiting tasks of the job could go to the machines that
+// there are if all but production made way there. Of those that need machines yet, no
+// room is kept. What is on its way is waited for, for a while.
+func (l *Leader) hostable(j *job, n int) int {
+	if l.now.Mono-j.waitSince < tuning.PromiseFor {
+		return n
+	}
+	z := j.zones()
+	room := map[string]int{}
+	could := func() int {
+		most, sum := 0, 0
+		for zone, k := range room {
+			most = max(most, k)
+			sum += max(0, min(k, j.spec.ZoneCap()-z[zone]))
+		}
+		if j.spec.Together {
+			sum = most
+		}
+		return sum
+	}
+	for _, m := range l.sorted() {
+		if !l.usable(m) || m.digested().blocked || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) {
+			continue
+		}
+		cpus, gpus, mem := m.mt.CPUs, m.mt.GPUs, m.mt.MemoryGB
+		for _, a := range m.tasks {
+			if a.job.rank == 0 || a.job == j {
+				cpus -= a.job.spec.CPUs
+				gpus -= a.job.spec.GPUs
+				mem -= a.job.spec.MemoryGB
+			}
+		}
+		k := float64(n)
+		for _, part := range [][2]float64{{cpus, j.spec.CPUs}, {gpus, j.spec.GPUs}, {mem, j.spec.MemoryGB}} {
+			if part[1] > 0 {
+				k = min(k, math.Floor(part[0]/part[1]+epsilon))
+			}
+		}
+		if k < 1 {
+			continue
+		}
+		room[m.zone] = min(n, room[m.zone]+int(k))
+		if could() >= n {
+			return n // mostly after a few machines: hundreds of jobs may ask in each round
+		}
+	}
+	if j.spec.Gang() {
+		return 0 // it runs as a whole or not at all
+	}
+	return could()
+}
+
 // queue orders the jobs that wait: production first, then what fits its team's
 // guarantee, then by rank and by how little time is left.
 func (l *Leader) queue(total float64) []*job {
@@ -840,7 +959,11 @@
 	made := 0
 	claim := func(m *machine) {
 		r.claimed[m] += j.spec.CPUs
-		m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
+		if m.keptFor == j.id || m.keptTo <= l.now.Mono || j.rank == 0 {
+			// Whom it is kept for already goes first. Two jobs that took it from each
+			// other, each found it kept for the other once the room was there.
+			m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
+		}
 		if z != nil {
 			z[m.zone]++
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -129,6 +129,9 @@
 	// ProbeFloor is the shortest time that a start is probed for, however long
 	// its job has been queued: one wait and one more try.
 	ProbeFloor = 4 * time.Second
+	// ProbeWaitMax is the longest wait between two probes, however far off the
+	// deadline is: a sixth of the 90 s for which no job may wait beside room.
+	ProbeWaitMax = 15 * time.Second
 	// HaltRepeat is the pause between repeated stops of the same task.
 	HaltRepeat = 2 * time.Second
 	// ErrorBackoff is the first pause of a job after a failed attempt, doubled
@@ -157,10 +160,17 @@
 	// KeepRoom is how long room that was made for a job is kept for it: stops
 	// and the write before a start take well under a second.
 	KeepRoom = 1500 * time.Millisecond
+	// PromiseFor is how long room, on machines or under its team's limit, is kept for a
+	// job that no machine could take even if all other work made way: about as long as
+	// stops take, and machines that come up within seconds.
+	PromiseFor = 10 * time.Second
 	// WorthWarm is how long an image's fetch has to take, in seconds, before
 	// lower work is stopped on a machine that has the image. Its loss is at
 	// most what it ran so far.
 	WorthWarm = 0.5
+	// FetchTurn is how long a job may wait while machines with room fetch other jobs'
+	// images: under the 90 s for which none may wait beside room.
+	FetchTurn = 60 * time.Second
 	// WarmWait is how long a service waits for such room before it takes what
 	// there is. Starts are wanted within a second; stops take milliseconds.
 	WarmWait = 2 * time.Second
