--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -36,9 +36,10 @@
 	cut     map[string]time.Duration // machine or node -> cut until
 	deaf    map[string]time.Duration // machine that nothing reaches until then
 	hung    map[string]time.Duration // machine that stands still until then
-	// answered is when the last report of a machine that was answered was sent.
-	answered map[string]time.Duration
-	zoneCut  map[string]time.Duration // zone that is apart from the others until then
+	mute    map[string]time.Duration // machine that reaches no node until then, while direct calls reach it
+	times   map[string]*machineTimes
+	kept    []wire.Report            // copies of reports that arrive when somebody leads anew
+	zoneCut map[string]time.Duration // zone that is apart from the others until then
 
 	size     worldSize
 	advanced time.Duration // when all workers last moved on
@@ -136,9 +137,16 @@
 		}
 		w.advanced = w.now
 		for _, name := range w.names {
-			// One that hangs may go on within its lease, and not after.
-			if w.hung[name] <= w.now || w.now > w.answered[name]+w.lease {
+			// "A hanging machine does not execute its tasks, but it may resume at any
+			// time within its lease", and a task "is on its machine [...] until it
+			// exits, is killed or the machine is gone, including while it [...] cannot
+			// be reached". So on one that hangs for longer its tasks are until its
+			// worker, which kills them, resumes, or the machine is released: no end of
+			// a lease that passes meanwhile proves that they are gone.
+			if w.hung[name] <= w.now {
 				w.workers[name].Advance(w.now)
+			} else {
+				w.workers[name].Stand(w.now)
 			}
 		}
 	}
@@ -181,6 +189,9 @@
 	out := []time.Duration{w.delay()}
 	if w.chance(w.hold) {
 		out[0] = time.Duration(w.rng.IntN(25000)) * time.Millisecond
+		if w.rng.IntN(8) == 0 {
+			out[0] *= 5 // minutes late
+		}
 	}
 	if w.chance(w.repeat) {
 		out = append(out, out[0]+time.Duration(w.rng.IntN(20000))*time.Millisecond)
@@ -220,12 +231,13 @@
 
 func newWorldOf(seed uint64, size worldSize) *world {
 	w := &world{size: size, rng: rand.New(rand.NewPCG(seed, 7)), state: standin.NewState(12, 10000),
-		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{}, deaf: map[string]time.Duration{}, hung: map[string]time.Duration{}, answered: map[string]time.Duration{}, zoneCut: map[string]time.Duration{},
+		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{}, deaf: map[string]time.Duration{}, hung: map[string]time.Duration{}, mute: map[string]time.Duration{}, times: map[string]*machineTimes{}, zoneCut: map[string]time.Duration{},
 		trouble: true, lease: 12 * time.Second}
 	w.types = []wire.MachineType{
 		{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 0.5, Price: 1, SpotCost: 0.3, BootS: 5, Zones: []string{"a", "b"}},
 		{Name: "large", CPUs: 16, MemoryGB: 64, CacheGB: 20, FetchGBs: 0.5, Price: 2, SpotCost: 0.6, BootS: 5, Zones: []string{"a", "b"}},
 	}
+	w.state.Writes = size.writes + 10 // users' writes come on top of what the leader keeps to
 	w.rules = standin.NewRules(map[string]float64{"red": size.limit, "blue": size.limit}, size.cancel)
 	w.settings = core.Settings{
 		Teams:  map[string]core.Team{"red": {CPUs: size.limit / 2, CPUsMax: size.limit}, "blue": {CPUs: size.limit / 2, CPUsMax: size.limit}},
@@ -241,7 +253,7 @@
 		w.every(700*time.Millisecond, n.hearPeers)
 	}
 	for i := range size.machines {
-		w.boot(w.types[i%2], []string{"a", "b"}[i/2%2], false)
+		w.bootIn(0, w.types[i%2], []string{"a", "b"}[i/2%2], false)
 	}
 	w.every(time.Second, func() { w.rules.Check(w.now) })
 	return w
@@ -251,11 +263,41 @@
 	return core.Now{Mono: w.now, Wall: w.now.Milliseconds()}
 }
 
+// machineTimes is what the cloud knows of a machine.
+type machineTimes struct {
+	rented time.Duration
+	up     time.Duration // when its worker begins; never is far away
+	died   time.Duration // on its own, 0: it has not
+	gone   time.Duration // deleted or taken, 0: it is not
+}
+
+const never = 1 << 60 * time.Nanosecond
+
+// boot rents a machine: some are up at once, most after about the usual time, and while
+// there is trouble some take several times that, or never come up.
 func (w *world) boot(mt wire.MachineType, zone string, spot bool) string {
+	usual := time.Duration(mt.BootS * float64(time.Second))
+	d := time.Duration((0.6 + 0.9*w.rng.Float64()) * float64(usual))
+	switch x := w.rng.IntN(20); {
+	case x < 6:
+		d = time.Duration(w.rng.IntN(1500)) * time.Millisecond
+	case x == 6 && w.trouble:
+		d *= 4
+	case x == 7 && w.trouble && w.rng.IntN(2) == 0:
+		d = never
+	}
+	return w.bootIn(d, mt, zone, spot)
+}
+
+// bootIn rents a machine that is up after d.
+func (w *world) bootIn(d time.Duration, mt wire.MachineType, zone string, spot bool) string {
 	name := fmt.Sprintf("n-%06d", len(w.names))
 	w.names = append(w.names, name)
+	w.times[name] = &machineTimes{rented: w.now, up: w.now + d}
 	w.faulty[name] = w.rng.Float64() < 0.1
-	wk := standin.NewWorker(w.now, w.lease, name, mt, zone, spot, w.rules,
+	// Clocks of different machines drift apart by up to 0.05%.
+	lease := w.lease + time.Duration((w.rng.Float64()-0.5)*0.001*float64(w.lease))
+	wk := standin.NewWorker(w.now+d, lease, name, mt, zone, spot, w.rules,
 		func(string) time.Duration {
 			// Most tasks take seconds; some of a job end far apart from the others.
 			if w.rng.IntN(8) == 0 {
@@ -265,7 +307,6 @@
 		},
 		func(string) bool { return w.trouble && w.faulty[name] && w.rng.Float64() < 0.5 })
 	w.workers[name] = wk
-	w.answered[name] = w.now
 	at := w.rng.IntN(len(w.nodes))
 	var next func()
 	next = func() {
@@ -282,10 +323,19 @@
 		n := w.nodes[at]
 		answered, early := false, false
 		if w.chance(w.copies) {
-			// A copy comes late, to any node, and nobody waits for its answer.
-			w.after(time.Duration(1+w.rng.IntN(40))*time.Second, func() { w.nodes[w.rng.IntN(len(w.nodes))].checkin(&r) })
+			// A copy comes late, to any node or to the next that leads, and nobody
+			// waits for its answer.
+			if w.rng.IntN(3) == 0 {
+				w.kept = append(w.kept, r)
+			} else {
+				w.after(time.Duration(1+w.rng.IntN(40))*time.Second, func() { w.nodes[w.rng.IntN(len(w.nodes))].checkin(&r) })
+			}
+		}
+		var arrivals []time.Duration
+		if w.mute[name] <= w.now {
+			arrivals = w.fate(name, n.name)
 		}
-		for _, d := range w.fate(name, n.name) {
+		for _, d := range arrivals {
 			w.after(d, func() {
 				n.unfrozen(func() {
 					reply, ok := n.checkin(&r)
@@ -302,12 +352,13 @@
 						if w.deaf[name] > w.now {
 							break
 						}
+						if until := w.hung[name]; until > w.now+d {
+							d = until - w.now // it reads the answer when it resumes
+						}
 						w.after(d, func() {
 							if !answered && w.now-sent < 4*time.Second && w.hung[name] <= w.now {
 								answered = true
-								if wk.Reply(w.now, sent, session, reply) {
-									w.answered[name] = max(w.answered[name], sent)
-								}
+								wk.Reply(w.now, sent, session, reply)
 								if len(reply.Commands) > 0 {
 									// What changes is reported at once, or nearly.
 									early = true
@@ -339,7 +390,9 @@
 			})
 		})
 	}
-	w.after(time.Duration(w.rng.Int64N(int64(w.size.report*2/3))), next)
+	if d < never {
+		w.after(d+time.Duration(w.rng.Int64N(int64(w.size.report*2/3))), next)
+	}
 	return name
 }
 
@@ -491,6 +544,10 @@
 		n.leader = core.NewLeader(w.coreNow(), w.settings, n.term, n.replica, all(store.BitsPrefix), all(store.BatchPrefix), w.types)
 		n.leader.Held(w.now + tuning.LeaseTTL)
 		n.drain()
+		for _, r := range w.kept {
+			w.after(time.Duration(w.rng.IntN(3000))*time.Millisecond, func() { n.checkin(&r) })
+		}
+		w.kept = nil
 	})
 }
 
@@ -523,16 +580,47 @@
 	n.drain()
 }
 
+// listLag is the lag of the cloud's list.
+const listLag = 5 * time.Second
+
+// list is the machine list as it was a while ago, at times twice as long, so that one may
+// be older than the one before: new machines are missing or still starting, gone ones are
+// there, and one that died shows as running for 30 s.
 func (w *world) list() []wire.ListedMachine {
+	lag := listLag
+	if w.rng.IntN(4) == 0 {
+		lag += time.Duration(w.rng.Int64N(int64(listLag)))
+	}
+	at := w.now - lag
 	var out []wire.ListedMachine
 	for _, name := range w.names {
-		if wk := w.workers[name]; !wk.Gone {
-			out = append(out, wire.ListedMachine{Name: name, Address: wk.Addr, Type: wk.Type, Zone: wk.Zone, Spot: wk.Spot, State: wire.MachineRunning, AgeS: 1})
+		wk, t := w.workers[name], w.times[name]
+		if wk.Gone && t.gone == 0 && t.died == 0 {
+			t.died = w.now // noticed now
+		}
+		if t.rented > max(at, 0) || t.gone > 0 && t.gone <= at {
+			continue
+		}
+		state := wire.MachineRunning
+		switch {
+		case t.up > max(at, 0):
+			state = wire.MachineStarting
+		case t.died > 0 && t.died+30*time.Second <= at:
+			state = wire.MachineFailed
 		}
+		out = append(out, wire.ListedMachine{Name: name, Address: wk.Addr, Type: wk.Type, Zone: wk.Zone, Spot: wk.Spot, State: state, AgeS: max(0, at-t.rented).Seconds()})
 	}
 	return out
 }
 
+// remove ends a machine that is deleted or taken.
+func (w *world) remove(name string) {
+	if t := w.times[name]; t.gone == 0 {
+		t.gone = w.now
+	}
+	w.workers[name].Kill()
+}
+
 func (n *simNode) checkin(r *wire.Report) (wire.CheckinReply, bool) {
 	sent := false // on to the leader
 	for _, p := range n.w.nodes {
@@ -594,13 +682,16 @@
 				with(func() { l.Rented(w.coreNow(), r.Request.Name, core.RentRefused, nil) })
 				return
 			}
-			names, again := w.rented[r.Request.Name]
-			if !again {
+			carryOut := func() []string {
+				names, again := w.rented[r.Request.Name]
+				if again {
+					return names
+				}
 				// As at a cloud, idle machines of one zone take no room in another:
 				// else a job that needs both would wait for what never comes.
 				live := 0
-				for _, wk := range w.workers {
-					if !wk.Gone && wk.Zone == r.Request.Zone && wk.Spot == r.Request.Spot {
+				for name, wk := range w.workers {
+					if w.times[name].gone == 0 && !wk.Gone && wk.Zone == r.Request.Zone && wk.Spot == r.Request.Spot {
 						live++
 					}
 				}
@@ -612,8 +703,18 @@
 						}
 					}
 				}
-				w.rented[r.Request.Name] = names
+				if len(names) > 0 {
+					w.rented[r.Request.Name] = names // after a refusal the same may be asked again
+				}
+				return names
 			}
+			if w.chance(0.05) {
+				// No answer, and it is carried out late, when nobody expects it.
+				w.after(time.Duration(w.rng.IntN(40_000))*time.Millisecond, func() { carryOut() })
+				w.after(2*time.Second, func() { with(func() { l.Rented(w.coreNow(), r.Request.Name, core.RentUnknown, nil) }) })
+				return
+			}
+			names := carryOut()
 			res := core.RentDone
 			if len(names) == 0 {
 				res = core.RentNone
@@ -621,7 +722,8 @@
 			if w.chance(0.1) {
 				res, names = core.RentUnknown, nil
 			}
-			with(func() { l.Rented(w.coreNow(), r.Request.Name, res, names) })
+			// The first reports of machines that are up at once come before the answer.
+			w.after(w.delay(), func() { with(func() { l.Rented(w.coreNow(), r.Request.Name, res, names) }) })
 		})
 	}
 	for _, names := range e.Release {
@@ -632,7 +734,7 @@
 			}
 			kill := func() {
 				for _, name := range names {
-					w.workers[name].Kill()
+					w.remove(name)
 				}
 			}
 			res := core.ReleaseDone
@@ -652,7 +754,9 @@
 	}
 	if e.Resign != "" && n.leader == l {
 		n.stepDown()
-		w.state.Revoke(n.permit)
+		if n.stateOK() {
+			w.state.Revoke(n.permit)
+		}
 	}
 }
 
@@ -688,6 +792,8 @@
 				done(core.CommitDone, r.Epoch, nil)
 			case 409:
 				done(core.CommitConflict, 0, r.Failed)
+			case 429:
+				done(core.CommitRefused, 0, nil)
 			default:
 				panic("malformed transaction: " + r.Error)
 			}
@@ -709,10 +815,20 @@
 	for _, d := range w.fate(c.Machine, n.name) {
 		w.after(d, func() {
 			wk := w.workers[c.Machine]
-			if wk.Gone || w.deaf[c.Machine] > w.now {
+			if wk.Gone || w.deaf[c.Machine] > w.now || w.times[c.Machine].up > w.now {
 				return
 			}
-			execute := func() {
+			var execute func()
+			execute = func() {
+				if until := w.hung[c.Machine]; until > w.now {
+					// It takes up what came meanwhile once it goes on.
+					w.after(until-w.now, func() {
+						if !wk.Gone {
+							execute()
+						}
+					})
+					return
+				}
 				status, r := wk.Commands(w.now, c.Body)
 				res := core.CallExecuted
 				if status == 409 {
@@ -722,15 +838,6 @@
 					w.after(d, func() { finish(res, &r) })
 				}
 			}
-			if until := w.hung[c.Machine]; until > w.now {
-				// It takes up what came meanwhile once it goes on.
-				w.after(until-w.now, func() {
-					if !wk.Gone {
-						execute()
-					}
-				})
-				return
-			}
 			execute()
 		})
 	}
@@ -757,7 +864,10 @@
 // out all the same, then or later; the user comes again, by again.
 func (w *world) write(t wire.Txn, again func()) (status int) {
 	if !w.chance(w.lose) {
-		status, _ = w.state.Commit(w.now, t)
+		if status, _ = w.state.Commit(w.now, t); status == 429 {
+			w.after(time.Second, again)
+			return 0
+		}
 		return status
 	}
 	switch w.rng.IntN(3) {
@@ -934,7 +1044,23 @@
 		node := w.nodes[w.rng.IntN(len(w.nodes))]
 		machine := w.names[w.rng.IntN(len(w.names))]
 		long := time.Duration(1+w.rng.IntN(20)) * time.Second
-		switch w.rng.IntN(18) {
+		switch w.rng.IntN(21) {
+		case 18:
+			w.mute[machine] = w.now + 2*long
+		case 19:
+			// The cloud takes a machine, most with a notice.
+			if wk := w.workers[machine]; wk.Spot && !wk.Gone {
+				notice := time.Duration(0)
+				if w.rng.IntN(3) > 0 {
+					notice = long
+					wk.Recall(w.now + notice)
+				}
+				w.after(notice, func() { w.remove(machine) })
+			}
+		case 20:
+			if wk := w.workers[machine]; w.rng.IntN(2) == 0 {
+				wk.Kill() // it dies, and shows as running for a while
+			}
 		case 13, 14:
 			// A process stands still while its clocks run on, mostly the leader's.
 			for _, n := range w.nodes {
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -5,6 +5,7 @@
 package standin
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -17,7 +18,12 @@
 	Epoch  uint64
 	Down   bool // refuses everything, and no lease ends
 	TxnOps int
+	// Writes is how many puts and deletes a second it takes, with a burst of one
+	// second's worth; 0: any number.
+	Writes float64
 
+	room   float64       // puts and deletes that it takes now
+	roomAt time.Duration // when room was counted
 	items  map[string]wire.Item
 	leases map[uint64]*lease
 	nextID uint64
@@ -50,11 +56,17 @@
 	if s.Down {
 		return
 	}
+	var over []uint64
 	for id, l := range s.leases {
-		if now > l.end {
-			s.Revoke(id)
+		// It may end up to 100 ms late, but never early.
+		if now > l.end+time.Duration(id*37%101)*time.Millisecond {
+			over = append(over, id)
 		}
 	}
+	slices.Sort(over)
+	for _, id := range over {
+		s.Revoke(id)
+	}
 }
 
 // Grant makes a lease.
@@ -135,6 +147,18 @@
 	if len(t.Apply) > s.TxnOps || len(t.If) > 4*s.TxnOps {
 		return 400, wire.TxnReply{Error: "too many operations"}
 	}
+	if s.Writes > 0 {
+		s.room = min(s.Writes, s.room+s.Writes*(now-s.roomAt).Seconds())
+		if s.roomAt == 0 {
+			s.room = s.Writes
+		}
+		s.roomAt = now
+		if float64(len(t.Apply)) > s.room {
+			return 429, wire.TxnReply{Error: "too many writes"}
+		}
+		// Those of transactions whose conditions fail count as well.
+		s.room -= float64(len(t.Apply))
+	}
 	for _, c := range t.Apply {
 		if c.Set != "" && c.Permit != nil && s.leases[*c.Permit] == nil {
 			return 400, wire.TxnReply{Error: "no such lease"}
