Rules: allowed types, refused repeats, failing polls, older answers, left waiting and more

The simulated world feeds what it can observe: polls, answers with their times, withdrawals, and room on machines once its troubles are over.

--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -239,6 +239,7 @@
 	}
 	w.state.Writes = size.writes + 10 // users' writes come on top of what the leader keeps to
 	w.rules = standin.NewRules(map[string]float64{"red": size.limit, "blue": size.limit}, size.cancel)
+	w.rules.Types(w.types)
 	w.settings = core.Settings{
 		Teams:  map[string]core.Team{"red": {CPUs: size.limit / 2, CPUsMax: size.limit}, "blue": {CPUs: size.limit / 2, CPUsMax: size.limit}},
 		Report: size.report, Lease: w.lease, Cancel: size.cancel, TxnOps: 12, ValueBytes: 4096, WriteRate: size.writes,
@@ -256,6 +257,7 @@
 		w.bootIn(0, w.types[i%2], []string{"a", "b"}[i/2%2], false)
 	}
 	w.every(time.Second, func() { w.rules.Check(w.now) })
+	w.every(3*time.Second, w.lookForWaiting)
 	return w
 }
 
@@ -890,12 +892,16 @@
 			w.after(2*time.Second, try)
 			return
 		}
-		if w.write(wire.Txn{
+		status := w.write(wire.Txn{
 			If:    []wire.Condition{{Key: store.JobKey(j.ID)}, {Key: store.EndedKey(j.ID)}},
 			Apply: []wire.Change{{Set: store.JobKey(j.ID), Value: store.JobRecord{Job: *j}}},
-		}, try) != 0 {
+		}, try)
+		if status != 0 {
 			w.jobs = append(w.jobs, j)
 		}
+		if status == 200 {
+			w.rules.Told(w.now, j.ID, wire.JobPending)
+		}
 	}
 	try()
 }
@@ -903,6 +909,7 @@
 // poll asks for a job's state as a node tells it; empty: no node can.
 func (w *world) poll(id string) string {
 	n := w.server()
+	w.rules.Polled(w.now, id, n != nil)
 	if n == nil {
 		return ""
 	}
@@ -938,6 +945,7 @@
 
 // cancel asks for a job's cancellation until it gets an answer.
 func (w *world) cancel(id string) {
+	w.rules.CancelAsked(id)
 	again := func() { w.cancel(id) }
 	n := w.server()
 	if n == nil {
@@ -970,6 +978,27 @@
 	w.rules.Told(w.now, id, wire.JobCancelled)
 }
 
+// lookForWaiting shows the checker what is free, when a world has had its troubles.
+func (w *world) lookForWaiting() {
+	if w.trouble || w.size.machines > 100 {
+		return
+	}
+	var free []standin.Room
+	for _, name := range w.names {
+		if wk := w.workers[name]; !wk.Gone && w.times[name].up <= w.now && !wk.Recalled() {
+			free = append(free, wk.Room())
+		}
+	}
+	w.rules.Waiting(w.now, free, func(id string) bool {
+		for _, wk := range w.workers {
+			if wk.Has(id) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 func must(err error) {
 	if err != nil {
 		panic(err)
@@ -1125,4 +1154,6 @@
 		}
 	})
 	w.after(until, func() { w.trouble = false })
+	// What has begun before ends within this time.
+	w.after(until+time.Minute, func() { w.rules.TroublesOver(w.now) })
 }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -102,6 +102,9 @@
 // Recall announces that the cloud takes the machine away at a time.
 func (w *Worker) Recall(at time.Duration) { w.recallAt = at }
 
+// Recalled reports whether the machine is to be taken away.
+func (w *Worker) Recalled() bool { return w.recallAt > 0 }
+
 // fetch goes on with fetches up to now. An image is fetched once for all tasks that wait
 // for it, images that are fetched at the same time share the rate, and what no task waits
 // for any more is given up.
@@ -321,6 +324,28 @@
 	nt.state = wire.TaskFetching
 }
 
+// Room is what is free on the machine.
+func (w *Worker) Room() Room {
+	r := Room{w.Type, w.Zone, w.Spot, w.MT.CPUs, w.MT.GPUs, w.MT.MemoryGB}
+	for k, t := range w.tasks {
+		if t.state != wire.TaskExited {
+			s := w.rules.Spec(k.task)
+			r.CPUs, r.GPUs, r.MemoryGB = r.CPUs-s.CPUs, r.GPUs-s.GPUs, r.MemoryGB-s.MemoryGB
+		}
+	}
+	return r
+}
+
+// Has reports whether a task of a job is on the machine or waits there for its image.
+func (w *Worker) Has(id string) bool {
+	for k, t := range w.tasks {
+		if job, _, _ := wire.SplitTask(k.task); job == id && t.state != wire.TaskExited {
+			return true
+		}
+	}
+	return false
+}
+
 // Kill ends the machine with everything on it.
 func (w *Worker) Kill() {
 	for k, t := range w.tasks {
