A machine whose release is unanswered is told to stop what is cancelled meanwhile

Cause: while a release is out, reports were answered without commands, which renewed the worker's lease for as long as the answer took. Stops are always safe; the tasks count until the release is answered, as before.

--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -23,11 +23,15 @@
 	if m.phase == releasing {
 		// Its tasks count until the release is answered. Its lease may as well
 		// be kept, so that it goes on if the release fails, and is not asked for
-		// again then as if it were silent.
+		// again then as if it were silent. But the answer to a release may be long in
+		// coming, and a job that is cancelled meanwhile must not run on under a lease
+		// that we renew: what is to stop there is stopped.
+		var cmds []wire.Command
 		if r.Newer(m.session, m.tick) {
 			m.heardAt, m.vain, l.heardAny = now.Mono, 0, now.Mono
+			cmds = l.halts(m)
 		}
-		return wire.CheckinReply{Token: l.token(m)}, true
+		return wire.CheckinReply{Token: l.token(m), Commands: cmds}, true
 	}
 	// A copy of an earlier report, however late it comes, is no sign of life and
 	// changes nothing.
