--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -49,14 +49,16 @@
 	trouble   bool // faults go on
 	lying     bool // the cloud answers releases without carrying them out
 	cloudDown bool
-	lose      float64
-	hold      float64
-	repeat    float64
-	copies    float64 // of reports, seconds to well over a lease late
-	lease     time.Duration
-	settings  core.Settings
-	trace     bool // print what the leaders log
-	without   guard
+	// releasesHeld is until when deletion requests are held back on their way.
+	releasesHeld time.Duration
+	lose         float64
+	hold         float64
+	repeat       float64
+	copies       float64 // of reports, seconds to well over a lease late
+	lease        time.Duration
+	settings     core.Settings
+	trace        bool // print what the leaders log
+	without      guard
 }
 
 // guard is what a world can do without, to show that its checker needs it.
@@ -742,6 +744,11 @@
 			res := core.ReleaseDone
 			switch {
 			case w.lying:
+			case w.now < w.releasesHeld:
+				// Held back with the answers, and carried out when that ends.
+				w.after(w.releasesHeld-w.now+w.delay(), kill)
+				w.after(2*time.Second, func() { with(func() { l.Released(w.coreNow(), names, core.ReleaseUnknown) }) })
+				return
 			case w.chance(0.1): // no answer, and it is carried out late
 				res = core.ReleaseUnknown
 				w.after(time.Duration(w.rng.IntN(15_000))*time.Millisecond, kill)
@@ -1149,6 +1156,10 @@
 			w.state.SetDown(w.now, true)
 			w.after(long/2, func() { w.state.SetDown(w.now, false) })
 		case 7:
+			if w.rng.IntN(2) == 0 {
+				w.releasesHeld = w.now + 4*long
+				break
+			}
 			w.cloudDown = true
 			w.after(long, func() { w.cloudDown = false })
 		}
