--- a/internal/core/harsh_test.go
+++ b/internal/core/harsh_test.go
@@ -76,17 +76,17 @@
 	return strings.Join(w.rules.Broken, "\n")
 }
 
-// Machines are silent for less than a lease and given back; the deletion is held back on
+// Machines hang for less than a lease and are given back; the deletion is held back on
 // its way for longer than a cancellation has; the machines go on and report, and jobs that
 // run there are cancelled.
 func TestCancelledWhileItsMachineIsBeingReleased(t *testing.T) {
 	for seed := range uint64(15) {
 		b := meetsServices(seed, 140*time.Second, func(w *world) {
 			w.releasesHeld = w.now + 70*time.Second
-			back := w.now + w.between(8000, 11_000)
+			back := w.now + w.between(7500, 10_500)
 			for _, name := range w.names {
 				if w.workers[name].Has("run-000003") || w.workers[name].Has("run-000002") {
-					w.cut[name] = back
+					w.hung[name] = back
 				}
 			}
 			w.after(w.between(11_000, 16_000), w.cancelSome)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -91,6 +91,8 @@
 	told    []string      // cancellations that users were told of here
 	led     time.Duration // as of when it knew all cancellations while it led
 	ledTerm uint64
+
+	watching bool // an answer with changes is on its way
 }
 
 type event struct {
@@ -491,7 +493,7 @@
 
 func (n *simNode) crash(d time.Duration) {
 	n.leader, n.replica, n.ledTerm = nil, core.NewReplica(), 0
-	n.known, n.told, n.frozen = 0, nil, 0
+	n.known, n.told, n.frozen, n.watching = 0, nil, 0, false
 	n.dead = n.w.now + d
 	n.born = n.dead
 	n.boot++
@@ -556,21 +558,35 @@
 }
 
 func (n *simNode) watch() {
-	if n.leader == nil || !n.stateOK() {
+	if n.leader == nil || !n.stateOK() || n.watching {
 		return
 	}
 	c, ok := n.w.state.Changes(n.w.now, store.JobsPrefix, n.replica.Epoch)
 	if !ok {
 		panic("the stand-in forgot changes")
 	}
-	n.leader.KnowsAsOf(n.asOf())
-	n.known = n.w.now
-	touched, bad := n.replica.Apply(c)
-	if len(bad) > 0 {
-		panic(fmt.Sprint("unreadable records: ", bad))
+	l, sent := n.leader, n.w.now
+	read := func() {
+		n.watching = false
+		if n.leader != l || !n.alive() {
+			return
+		}
+		l.KnowsAsOf(n.asOf())
+		n.known = max(n.known, sent)
+		touched, bad := n.replica.Apply(c)
+		if len(bad) > 0 {
+			panic(fmt.Sprint("unreadable records: ", bad))
+		}
+		l.JobsChanged(n.w.coreNow(), touched)
+		n.drain()
+	}
+	if !n.w.chance(0.02) {
+		read()
+		return
 	}
-	n.leader.JobsChanged(n.w.coreNow(), touched)
-	n.drain()
+	// The answer takes a few hundred milliseconds: it tells what was when it was asked.
+	n.watching = true
+	n.w.after(time.Duration(n.w.rng.IntN(600))*time.Millisecond, func() { n.unfrozen(read) })
 }
 
 func (n *simNode) tick() {
