--- a/internal/core/meetings_leader_test.go
+++ b/internal/core/meetings_leader_test.go
@@ -169,7 +169,7 @@
 			// with the leader in it or not, while jobs are cancelled on either side.
 			zone := []string{"a", "b"}[w.rng.IntN(2)]
 			if w.rng.IntN(4) > 0 {
-				w.mute = w.now + 60*time.Second // what is given back is not proven gone
+				w.cloudMute = w.now + 60*time.Second // what is given back is not proven gone
 			}
 			for range 3 {
 				w.after(w.between(0, 25_000), w.cancelOne)
@@ -204,7 +204,7 @@
 		{"given_back_without_an_answer", func(w *world) {
 			// Machines hang until they are given back, and go on within their lease;
 			// the cloud does not answer, and the leader's lease falls in doubt.
-			w.mute = w.now + 75*time.Second
+			w.cloudMute = w.now + 75*time.Second
 			for _, i := range w.rng.Perm(len(w.names))[:max(1, len(w.names)/4)] {
 				w.hung[w.names[i]] = w.now + w.between(8000, 11_000)
 			}
