--- a/internal/guards/leader_test.go
+++ b/internal/guards/leader_test.go
@@ -79,6 +79,13 @@
 		put:     "",
 		test:    "internal/node:^TestFollowerInACut$",
 	},
+	{
+		meeting: "a zone is cut off, and its workers' clocks are slow",
+		file:    "internal/node/workers.go",
+		cut:     "config.Seconds(w.LeaseS)-tuning.KeepaliveMargin",
+		put:     "config.Seconds(w.LeaseS)+0*tuning.KeepaliveMargin",
+		test:    "internal/node:^TestKeepaliveBoundLeavesTimeForDrift$",
+	},
 	{
 		meeting: "a zone is cut off, and its workers have a token of an earlier term than the node in it",
 		file:    "internal/node/workers.go",
--- a/internal/node/asof_test.go
+++ b/internal/node/asof_test.go
@@ -163,3 +163,23 @@
 		}
 	}
 }
+
+// A worker that is answered at the last moment allowed, right after it sent its report,
+// ends its tasks a lease later. That is within the time for a cancellation confirmed
+// right after the moment that all counts from, with each clock as far off as the
+// protocol allows.
+func TestKeepaliveBoundLeavesTimeForDrift(t *testing.T) {
+	const drift = 0.0005 // of each clock
+	n := quietNode(t)
+	w := &n.cfg.Deployment.Workers
+	for _, s := range []struct{ cancel, lease float64 }{{32, 12}, {70, 45}, {40, 12}, {600, 45}, {13.5, 12}, {12, 32}} {
+		w.CancelS, w.LeaseS = s.cancel, s.lease
+		bound := n.KeepaliveBound().Seconds()
+		if bound < 0 {
+			t.Errorf("%+v: kept alive for %v s", s, bound)
+		}
+		if gone := (bound + s.lease) * (1 + drift); bound > 0 && gone >= s.cancel*(1-drift) {
+			t.Errorf("%+v: tasks may be there for %v s", s, gone)
+		}
+	}
+}
