--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -36,6 +36,7 @@
 		w.copies = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "copies")
 		w.users(140 * time.Second)
 		w.troubles(150 * time.Second)
+		w.watchWaiting(230 * time.Second)
 		w.run(550 * time.Second)
 		if len(w.rules.Broken) > 0 {
 			t.Fatalf("broken:\n%s", strings.Join(w.rules.Broken[:min(5, len(w.rules.Broken))], "\n"))
--- a/internal/guards/room_test.go
+++ b/internal/guards/room_test.go
@@ -107,4 +107,11 @@
 		put:     "if j := l.jobs[id]; j.cancelled && false {",
 		test:    "internal/core:^TestLimitsAcrossLeaders$",
 	},
+	{
+		meeting: "jobs that missed all their deadlines are left after a time of overload",
+		file:    "internal/core/place.go",
+		cut:     "if bounded && rest == 0 {",
+		put:     "if bounded && rest < 0 {",
+		test:    "internal/core:^TestMoreWorkThanRoom$",
+	},
 }
