--- a/internal/core/room_test.go
+++ b/internal/core/room_test.go
@@ -75,7 +75,8 @@
 				d.pass(time.Second, "n-1")
 			}
 			if wait := d.now - last; wait > besideRoom/3 {
-				t.Fatalf("due in %v s: sent again after %v, having been lost %d times", due, wait, lost)
+				t.Errorf("due in %v s: sent again after %v, having been lost %d times", due, wait, lost)
+				break
 			}
 			if d.l.jobs["run-000001"].nActive == 0 {
 				break // given up, and to be placed anew
