--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -36,6 +36,7 @@
 	cut     map[string]time.Duration // machine or node -> cut until
 	deaf    map[string]time.Duration // machine that nothing reaches until then
 	hung    map[string]time.Duration // machine that stands still until then
+	mute    map[string]time.Duration // machine that can open no connections until then
 	// answered is when the last report of a machine that was answered was sent.
 	answered map[string]time.Duration
 	zoneCut  map[string]time.Duration // zone that is apart from the others until then
@@ -52,6 +53,7 @@
 	hold      float64
 	repeat    float64
 	copies    float64 // of reports, seconds to well over a lease late
+	writeLag  int     // milliseconds that a leader's transaction may take longer
 	lease     time.Duration
 	settings  core.Settings
 	trace     bool // print what the leaders log
@@ -220,7 +222,7 @@
 
 func newWorldOf(seed uint64, size worldSize) *world {
 	w := &world{size: size, rng: rand.New(rand.NewPCG(seed, 7)), state: standin.NewState(12, 10000),
-		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{}, deaf: map[string]time.Duration{}, hung: map[string]time.Duration{}, answered: map[string]time.Duration{}, zoneCut: map[string]time.Duration{},
+		workers: map[string]*standin.Worker{}, rented: map[string][]string{}, faulty: map[string]bool{}, cut: map[string]time.Duration{}, deaf: map[string]time.Duration{}, hung: map[string]time.Duration{}, mute: map[string]time.Duration{}, answered: map[string]time.Duration{}, zoneCut: map[string]time.Duration{},
 		trouble: true, lease: 12 * time.Second}
 	w.types = []wire.MachineType{
 		{Name: "small", CPUs: 8, MemoryGB: 32, CacheGB: 20, FetchGBs: 0.5, Price: 1, SpotCost: 0.3, BootS: 5, Zones: []string{"a", "b"}},
@@ -285,7 +287,11 @@
 			// A copy comes late, to any node, and nobody waits for its answer.
 			w.after(time.Duration(1+w.rng.IntN(40))*time.Second, func() { w.nodes[w.rng.IntN(len(w.nodes))].checkin(&r) })
 		}
-		for _, d := range w.fate(name, n.name) {
+		fates := w.fate(name, n.name)
+		if w.mute[name] > w.now {
+			fates = nil
+		}
+		for _, d := range fates {
 			w.after(d, func() {
 				n.unfrozen(func() {
 					reply, ok := n.checkin(&r)
@@ -658,7 +664,11 @@
 
 func (n *simNode) commit(c core.Commit, with func(func())) {
 	w, l := n.w, n.leader
-	w.after(w.delay(), func() {
+	lag := time.Duration(0)
+	if w.writeLag > 0 {
+		lag = w.between(0, w.writeLag)
+	}
+	w.after(w.delay()+lag, func() {
 		done := func(res core.CommitResult, rev uint64, failed []string) {
 			with(func() { l.CommitDone(w.coreNow(), c.ID, res, rev, failed) })
 		}
