Each condition of the proof that a task is gone is tested on its own

Conditions overlap: without the checks of the call that is out, of the report whose answer took the start, or without the raise of stop or of a lost call alone, no world of meetings breaks a rule, since the others hold.

--- a/internal/core/meetings_reports_test.go
+++ b/internal/core/meetings_reports_test.go
@@ -38,13 +38,11 @@
 			}},
 		{"an old report reaches every controller just as a new leader begins", nil,
 			func(w *world, leader *simNode) {
-				leader.crash(w.between(100, 5000))
-				w.keepReports(0, 20)
+				w.keepReports(leader, 0, 20)
 			}},
 		{"a report is held back until a new leader has acted", nil,
 			func(w *world, leader *simNode) {
-				leader.crash(w.between(100, 5000))
-				w.keepReports(300, 6000)
+				w.keepReports(leader, 300, 6000)
 			}},
 		{"an old report arrives after newer ones, from an earlier session or attempt too", nil,
 			func(w *world, leader *simNode) {
@@ -60,7 +58,11 @@
 			}},
 		{"a command or its answer is held up, and the machine hangs and goes on", nil,
 			func(w *world, leader *simNode) {
-				w.hold, w.repeat = 0.2, 0.3
+				w.hold, w.repeat, w.callLag = 0.2, 0.4, 700
+				w.blunder()
+				for i := range 12 {
+					w.after(w.between(0, 20_000), func() { w.submitGang(900 + i) })
+				}
 				for i := range 12 {
 					w.after(time.Duration(i)*3*time.Second, func() {
 						name := w.names[w.rng.IntN(len(w.names))]
@@ -70,12 +72,19 @@
 				w.after(w.between(0, 20_000), w.cancelSome)
 			}},
 		{"machines are up within two seconds and get work while writes lag, and the leader ends",
-			func(w *world) { w.writeLag = 2000 },
+			func(w *world) { w.writeLag = 3000 },
 			func(w *world, leader *simNode) {
 				for i := range 12 {
 					w.after(w.between(0, 2000), func() { w.submitArray(900+i, 3) })
 				}
-				w.after(w.between(500, 6000), func() { leader.crash(w.between(100, 3000)) })
+				w.after(w.between(1000, 4000), func() {
+					leader.crash(w.between(100, 1000))
+					for _, name := range w.names {
+						if w.rng.IntN(2) == 0 {
+							w.cut[name] = w.now + w.between(4000, 11_000)
+						}
+					}
+				})
 			}},
 		{"a leader ends while machines with long tasks can't be reached or hear no answer", nil,
 			func(w *world, leader *simNode) {
@@ -133,7 +142,7 @@
 						}
 					}
 				})
-				w.after(70*time.Second, func() { w.trouble, w.hold, w.repeat, w.writeLag = false, 0, 0, 0 })
+				w.after(70*time.Second, func() { w.trouble, w.hold, w.repeat, w.writeLag, w.callLag = false, 0, 0, 0, 0 })
 				w.run(200 * time.Second)
 				if wrong := w.wrong(); wrong != "" {
 					failed++
@@ -173,18 +182,34 @@
 		Image: fmt.Sprintf("img-%d", i%3), ImageGB: 1, EstimateS: 8, Spot: i%4 == 0, Together: i%5 == 0})
 }
 
-// keepReports keeps a report of each machine from several moments, until a new leader
-// has been there for some milliseconds, and then brings them to every controller.
-func (w *world) keepReports(from, to int) {
+// submitGang submits a gang: when a member ends, the others are stopped, also those
+// whose start is still on its way.
+func (w *world) submitGang(i int) {
+	w.submit(&wire.Job{ID: fmt.Sprintf("run-%06d", i), Class: "c", Team: []string{"red", "blue"}[i%2], Shape: wire.ShapeGang,
+		Rank: wire.RankNormal, Tasks: 3, CPUs: 1, MemoryGB: 2, Image: fmt.Sprintf("img-%d", i%3), ImageGB: 0.2, EstimateS: 8})
+}
+
+// blunder makes tasks fail on half of the machines, until the troubles are over.
+func (w *world) blunder() {
+	for _, name := range w.names {
+		w.faulty[name] = w.rng.IntN(2) == 0
+	}
+}
+
+// keepReports keeps reports of each machine from the seconds before the leader ends,
+// until a new one has been there for some milliseconds, and then brings them to every
+// controller. Half of the machines can't be reached meanwhile, so that the old report
+// is all that the new leader has of them.
+func (w *world) keepReports(leader *simNode, from, to int) {
 	var kept []wire.Report
 	take := func() {
 		for _, wk := range w.standing() {
 			kept = append(kept, wk.Report(w.now))
 		}
 	}
-	take()
-	for range 3 {
-		w.after(w.between(0, 4000), take)
+	ends := w.between(2000, 5000)
+	for range 4 {
+		w.after(w.between(0, int(ends/time.Millisecond)), take)
 	}
 	var wait func()
 	wait = func() {
@@ -203,7 +228,15 @@
 		}
 		w.after(5*time.Millisecond, wait)
 	}
-	wait()
+	w.after(ends, func() {
+		for _, name := range w.names {
+			if w.rng.IntN(2) == 0 {
+				w.cut[name] = w.now + w.between(4000, 11_000)
+			}
+		}
+		leader.crash(w.between(100, 1000))
+		wait()
+	})
 }
 
 // copyReports brings a report of each machine to every controller after a while.
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -54,6 +54,7 @@
 	repeat    float64
 	copies    float64 // of reports, seconds to well over a lease late
 	writeLag  int     // milliseconds that a leader's transaction may take longer
+	callLag   int     // milliseconds that a direct call and its answer may each take longer
 	lease     time.Duration
 	settings  core.Settings
 	trace     bool // print what the leaders log
@@ -157,6 +158,14 @@
 	return d
 }
 
+// lag draws up to that many milliseconds.
+func (w *world) lag(most int) time.Duration {
+	if most == 0 {
+		return 0
+	}
+	return w.between(0, most)
+}
+
 // fate decides what becomes of a message: how often it arrives, and when.
 func (w *world) fate(ends ...string) []time.Duration {
 	until := time.Duration(0)
@@ -664,11 +673,7 @@
 
 func (n *simNode) commit(c core.Commit, with func(func())) {
 	w, l := n.w, n.leader
-	lag := time.Duration(0)
-	if w.writeLag > 0 {
-		lag = w.between(0, w.writeLag)
-	}
-	w.after(w.delay()+lag, func() {
+	w.after(w.delay()+w.lag(w.writeLag), func() {
 		done := func(res core.CommitResult, rev uint64, failed []string) {
 			with(func() { l.CommitDone(w.coreNow(), c.ID, res, rev, failed) })
 		}
@@ -717,7 +722,7 @@
 		with(func() { l.CallDone(w.coreNow(), c.ID, res, r) })
 	}
 	for _, d := range w.fate(c.Machine, n.name) {
-		w.after(d, func() {
+		w.after(d+w.lag(w.callLag), func() {
 			wk := w.workers[c.Machine]
 			if wk.Gone || w.deaf[c.Machine] > w.now {
 				return
@@ -729,7 +734,7 @@
 					res = core.CallRefused
 				}
 				for _, d := range w.fate(c.Machine, n.name) {
-					w.after(d, func() { finish(res, &r) })
+					w.after(d+w.lag(w.callLag), func() { finish(res, &r) })
 				}
 			}
 			if until := w.hung[c.Machine]; until > w.now {
