--- a/internal/guards/reports_test.go
+++ b/internal/guards/reports_test.go
@@ -147,6 +147,27 @@
 		put:     "_ = m",
 		test:    "internal/core:^TestSessionLostThoughAnswered$",
 	},
+	{
+		meeting: "workers open no connections, and the leader ends",
+		file:    batchFile,
+		cut:     "recorded: true, sent: true,",
+		put:     "recorded: true, sent: false,",
+		test:    meetingsOf + "workers_open_no_connections",
+	},
+	{
+		meeting: "workers open no connections, and their sessions end",
+		file:    reportFile,
+		cut:     "Session: max(1, m.session), Commands: cmds",
+		put:     "Session: 1, Commands: cmds",
+		test:    meetingsOf + "workers_open_no_connections",
+	},
+	{
+		meeting: "machines that nobody expected come up, and the leader ends",
+		file:    batchFile,
+		cut:     "recorded: true, sent: true,",
+		put:     "recorded: true, sent: false,",
+		test:    meetingsOf + "nobody_expected",
+	},
 	{
 		meeting: "machines open no connections, and only questions tell of them",
 		file:    fleetFile,
