--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -23,6 +23,7 @@
 	cancelled map[string]time.Duration // when the user was told
 	told      map[string]string        // the last state that was told
 	Starts    int
+	Repeated  int // starts of tasks that had completed: work done for nothing
 
 	// LateStarts lists starts after a confirmed cancellation but within the time that it
 	// has. The page: "From then on no task of the job may be started, and within
@@ -102,6 +103,9 @@
 // Started notes that a task is on a machine from now on.
 func (r *Rules) Started(now time.Duration, task string, w *Worker) {
 	r.Starts++
+	if r.completed[task] {
+		r.Repeated++
+	}
 	j := r.Spec(task)
 	id, _, _ := wire.SplitTask(task)
 	if len(r.on[task]) > 0 {
