--- a/internal/api/answers_test.go
+++ b/internal/api/answers_test.go
@@ -505,6 +505,28 @@
 			c.until("cancellation", func() bool { return w.ask(1, cancel) != "" })
 			refusedFirst(t, c)
 		}},
+		{"a batch after its leader's term", short, 1, func(t *testing.T, c *cluster, w *witness) {
+			leader := 0
+			c.until("a leader", func() bool {
+				for i := range c.addrs {
+					if s, _, _ := c.do(i, "GET", "/yarrowgap/v1/machines", nil); s == 200 {
+						leader = i
+						return true
+					}
+				}
+				return false
+			})
+			hold(c, func(x wire.Txn) bool { return sets(x, store.BatchPrefix) }, math.MaxInt)
+			c.until("acceptance", func() bool { return w.ask(0, submit) != "" })
+			c.until("a batch", func() bool { return c.site.Held() > 0 })
+			c.stops[leader]()
+			c.stops[leader] = func() {}
+			c.site.Fates(nil)
+			other := (leader + 1) % 3
+			c.until("the end", func() bool { return w.ask(other, query) == wire.JobDone })
+			refused(t, c)
+			c.restart(leader)
+		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/guards/answers_test.go
+++ b/internal/guards/answers_test.go
@@ -203,4 +203,11 @@
 		put:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}},",
 		test:    "internal/api:^TestLateWritesChangeNothing$/^a_peer's_copy_of_a_submission_after_the_end$",
 	},
+	{
+		meeting: "a leader's batch is written after its term",
+		file:    "internal/core/flush.go",
+		cut:     "t: wire.Txn{If: []wire.Condition{{Key: store.LeaderKey, Stamp: leaderStamp}}}",
+		put:     "",
+		test:    "internal/api:^TestLateWritesChangeNothing$/^a_batch_after_its_leader's_term$",
+	},
 }
