Mend: a peer's refusal of a submission's copy does not undo its acceptance

Cause: a submission that waits for the state service is put to a peer as well, and the peer's answer was told whatever it was. Where the peer knows other machine types, its 422 reached a user whose job our own try had made durable. Only an acceptance is now taken from it. Seen before: TestPeersRefusalDoesNotUndoAcceptance, 422, 400 and 404 for an accepted job.

--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -308,7 +308,10 @@
 		}
 		asked, repeated = true, true
 		go func() {
-			if a, ok := n.passOn(fwd); ok {
+			// A peer that refuses the job for good knows other machine types, or came
+			// too early to know it. Our own try may have been carried out: a user who
+			// is told 422 gives up a job that runs.
+			if a, ok := n.passOn(fwd); ok && a.State != nil {
 				passed <- a
 			}
 		}()
