--- a/internal/guards/answers_test.go
+++ b/internal/guards/answers_test.go
@@ -210,4 +210,11 @@
 		put:     "",
 		test:    "internal/api:^TestLateWritesChangeNothing$/^a_batch_after_its_leader's_term$",
 	},
+	{
+		meeting: "a peer refuses a copy of a submission for good that was accepted meanwhile",
+		file:    "internal/node/users.go",
+		cut:     "ok && a.State != nil {",
+		put:     "ok {",
+		test:    "internal/node:^TestPeersRefusalDoesNotUndoAcceptance$",
+	},
 }
--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/yarrowgap/yarrowgap/internal/config"
+	"github.com/yarrowgap/yarrowgap/internal/mesh"
 	"github.com/yarrowgap/yarrowgap/internal/standin"
 	"github.com/yarrowgap/yarrowgap/internal/store"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
@@ -122,3 +124,44 @@
 		t.Errorf("%+v %v %v", v, found, err)
 	}
 }
+
+// A submission that takes long is put to a peer, which takes the job for one that can never
+// run, since it knows other machine types; the job was accepted meanwhile. Its user is not
+// told to give it up.
+func TestPeersRefusalDoesNotUndoAcceptance(t *testing.T) {
+	const id = "run-000001"
+	n, _, came, let := onState(t, func(r *http.Request) bool { return r.URL.Path == "/commit" })
+	defer close(let)
+	n.types = []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 64, Zones: []string{"a"}}}
+	for _, status := range []int{http.StatusUnprocessableEntity, http.StatusBadRequest, http.StatusNotFound} {
+		asked := make(chan struct{}, 1)
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			b, err := wire.Marshal(mesh.Forwarded{Status: status, Error: "no"})
+			if err != nil {
+				t.Error(err)
+			}
+			_, _ = w.Write(b)
+			asked <- struct{}{}
+		}))
+		defer srv.Close()
+		n.peers["drover-1"] = &peer{Peer: config.Peer{Name: "drover-1", Addr: srv.Listener.Addr().String()}, heard: time.Now()}
+		b, err := standin.Submission(&wire.Job{ID: id, Class: "c", Team: "crew", Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		told := make(chan Answer)
+		go func() { told <- n.Submit(context.Background(), b, false) }()
+		<-came // carried out: accepted, or known already
+		<-asked
+		var a Answer
+		select {
+		case a = <-told:
+		case <-time.After(50 * time.Millisecond):
+			let <- struct{}{} // the service's answer comes
+			a = <-told
+		}
+		if a.State == nil || a.State.State != wire.JobPending {
+			t.Errorf("an accepted job, after a peer's %d: %+v", status, a)
+		}
+	}
+}
