--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -144,7 +144,9 @@
 			asked <- struct{}{}
 		}))
 		defer srv.Close()
+		n.mu.Lock()
 		n.peers["drover-1"] = &peer{Peer: config.Peer{Name: "drover-1", Addr: srv.Listener.Addr().String()}, heard: time.Now()}
+		n.mu.Unlock()
 		b, err := standin.Submission(&wire.Job{ID: id, Class: "c", Team: "crew", Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i"})
 		if err != nil {
 			t.Fatal(err)
