Tests: the peer that refuses is there before the node works

Peers never change while a node runs, and syncGap counts them without the lock: the lock taken in the test before this one did not end the race.

--- a/internal/node/answers_test.go
+++ b/internal/node/answers_test.go
@@ -133,20 +133,20 @@
 	n, _, came, let := onState(t, func(r *http.Request) bool { return r.URL.Path == "/commit" })
 	defer close(let)
 	n.types = []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 64, Zones: []string{"a"}}}
-	for _, status := range []int{http.StatusUnprocessableEntity, http.StatusBadRequest, http.StatusNotFound} {
-		asked := make(chan struct{}, 1)
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			b, err := wire.Marshal(mesh.Forwarded{Status: status, Error: "no"})
-			if err != nil {
-				t.Error(err)
-			}
-			_, _ = w.Write(b)
-			asked <- struct{}{}
-		}))
-		defer srv.Close()
-		n.mu.Lock()
-		n.peers["drover-1"] = &peer{Peer: config.Peer{Name: "drover-1", Addr: srv.Listener.Addr().String()}, heard: time.Now()}
-		n.mu.Unlock()
+	var status atomic.Int64
+	asked := make(chan struct{}, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		b, err := wire.Marshal(mesh.Forwarded{Status: int(status.Load()), Error: "no"})
+		if err != nil {
+			t.Error(err)
+		}
+		_, _ = w.Write(b)
+		asked <- struct{}{}
+	}))
+	defer srv.Close()
+	n.peers["drover-1"] = &peer{Peer: config.Peer{Name: "drover-1", Addr: srv.Listener.Addr().String()}, heard: time.Now()}
+	for _, refusal := range []int{http.StatusUnprocessableEntity, http.StatusBadRequest, http.StatusNotFound} {
+		status.Store(int64(refusal))
 		b, err := standin.Submission(&wire.Job{ID: id, Class: "c", Team: "crew", Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 1, CPUs: 1, MemoryGB: 1, Image: "i"})
 		if err != nil {
 			t.Fatal(err)
@@ -163,7 +163,7 @@
 			a = <-told
 		}
 		if a.State == nil || a.State.State != wire.JobPending {
-			t.Errorf("an accepted job, after a peer's %d: %+v", status, a)
+			t.Errorf("an accepted job, after a peer's %d: %+v", refusal, a)
 		}
 	}
 }
