--- a/internal/guards/answers_test.go
+++ b/internal/guards/answers_test.go
@@ -196,4 +196,18 @@
 		put:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}},",
 		test:    "internal/api:^TestLateWritesChangeNothing$/^a_peer's_copy_of_a_submission_after_the_end$",
 	},
+	{
+		meeting: "a leader's batch is written after its term",
+		file:    "internal/core/flush.go",
+		cut:     "t: wire.Txn{If: []wire.Condition{{Key: store.LeaderKey, Stamp: leaderStamp}}}",
+		put:     "",
+		test:    "internal/api:^TestLateWritesChangeNothing$/^a_batch_after_its_leader's_term$",
+	},
+	{
+		meeting: "a peer refuses a copy of a submission for good that was accepted meanwhile",
+		file:    "internal/node/users.go",
+		cut:     "ok && a.State != nil {",
+		put:     "ok {",
+		test:    "internal/node:^TestPeersRefusalDoesNotUndoAcceptance$",
+	},
 }
