A repeated submission is refused only where it can be told that its job is unknown

Seen in TestRepeatedSubmissionIsNeverCalledMalformed before the mend: 400 for a body that is too long, with and without the state service, and for one that lacks fields while the state service refuses.

--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -261,40 +261,27 @@
 	}()
 	ctx, cancel := context.WithTimeout(ctx, tuning.SubmitPatience)
 	defer cancel()
+	fwd := mesh.Forward{Kind: mesh.Submit, Body: mesh.Text(body)}
 	job, err := wire.ParseJob(body)
 	if err != nil {
-		// A known job's repeated submission is answered with its state, even
-		// if the body has changed for the worse.
+		verdict := refuse(http.StatusBadRequest, err.Error())
 		if id := wire.IDOf(body); id != "" {
-			if v, found, kerr := n.known(ctx, id); kerr == nil && found {
-				return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: v.State}}
-			}
+			return n.refuseUnknown(ctx, id, verdict, forwarded, fwd)
 		}
-		n.log.Info("submission refused", "status", http.StatusBadRequest, "why", err.Error())
-		return refuse(http.StatusBadRequest, err.Error())
+		n.log.Info("submission refused", "status", verdict.Status, "why", verdict.Error)
+		return verdict
 	}
-	fwd := mesh.Forward{Kind: mesh.Submit, Body: mesh.Text(body)}
 	n.mu.Lock()
 	types := n.types
 	n.mu.Unlock()
 	verdict := n.judge(job, types)
 	if verdict.Status != 0 {
-		v, found, err := n.known(ctx, job.ID)
-		switch {
-		case err != nil:
-			return n.pass(forwarded, fwd, err)
-		case found:
-			return Answer{Status: http.StatusOK, State: &wire.JobState{ID: job.ID, State: v.State}}
-		case verdict.Status == http.StatusServiceUnavailable && !forwarded:
-			return n.pass(false, fwd, errors.New(verdict.Error))
-		}
-		n.log.Info("submission refused", "job", job.ID, "status", verdict.Status, "why", verdict.Error)
-		return verdict
+		return n.refuseUnknown(ctx, job.ID, verdict, forwarded, fwd)
 	}
 	job.CreatedMilli = time.Now().UnixMilli()
 	rec := store.JobRecord{Job: *job}
 	if float64(wire.JSONSize(rec)) > n.cfg.Deployment.State.ValueKB*1024*(1-tuning.ValueSlack)-float64(tuning.BitmapTasks)/6 {
-		return refuse(http.StatusBadRequest, "the job's description is too long")
+		return n.refuseUnknown(ctx, job.ID, refuse(http.StatusBadRequest, "the job's description is too long"), forwarded, fwd)
 	}
 	t := wire.Txn{
 		If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},
@@ -466,6 +453,24 @@
 	return refuse(http.StatusServiceUnavailable, "cannot be decided now")
 }
 
+// refuseUnknown refuses a submission, unless its job is known: an accepted job's repeated
+// submission is answered with its state, even if the body has changed for the worse, and
+// never with 400 or 422. So while it cannot be told whether the job is known, the
+// submission cannot be refused either.
+func (n *Node) refuseUnknown(ctx context.Context, id string, verdict Answer, forwarded bool, fwd mesh.Forward) Answer {
+	v, found, err := n.known(ctx, id)
+	switch {
+	case err != nil:
+		return n.pass(forwarded, fwd, err)
+	case found:
+		return Answer{Status: http.StatusOK, State: &wire.JobState{ID: id, State: v.State}}
+	case verdict.Status == http.StatusServiceUnavailable && !forwarded:
+		return n.pass(false, fwd, errors.New(verdict.Error))
+	}
+	n.log.Info("submission refused", "job", id, "status", verdict.Status, "why", verdict.Error)
+	return verdict
+}
+
 // passOn hands a request to the peers, one after the other, until one decides.
 // A peer that could not decide a moment ago is not asked again for a while: in
 // an outage, three nodes would only pass everything around.
