Tests: repeats of accepted submissions that have changed for the worse, with guards

Without the look 400 is seen for a body that is too long; without the 503 that follows a failed look, for one that lacks fields while the state service refuses.

--- a/internal/guards/standin_test.go
+++ b/internal/guards/standin_test.go
@@ -23,4 +23,18 @@
 		put:     "return \"\"",
 		test:    "internal/core:^TestUnexpectedMachinesAreReturned$",
 	},
+	{
+		meeting: "a malformed repeat of an accepted submission comes while the state service refuses",
+		file:    "internal/node/users.go",
+		cut:     "	case err != nil:\n		return n.pass(forwarded, fwd, err)\n	case found:",
+		put:     "	case err != nil:\n		return verdict\n	case found:",
+		test:    "internal/api:^TestRepeatedSubmissionIsNeverCalledMalformed$",
+	},
+	{
+		meeting: "a repeat of an accepted submission has become too long",
+		file:    "internal/node/users.go",
+		cut:     "return n.refuseUnknown(ctx, job.ID, refuse(http.StatusBadRequest, \"the job's description is too long\"), forwarded, fwd)",
+		put:     "return refuse(http.StatusBadRequest, \"the job's description is too long\")",
+		test:    "internal/api:^TestRepeatedSubmissionIsNeverCalledMalformed$",
+	},
 }
