--- a/internal/core/harsh_test.go
+++ b/internal/core/harsh_test.go
@@ -162,14 +162,17 @@
 // cancelled, mostly as they start.
 func TestNothingStartsAfterAConfirmedCancellation(t *testing.T) {
 	starts := 0
-	for seed := range uint64(5) {
+	for seed := range uint64(8) {
 		w := newWorld(seed)
 		w.trouble = false
 		for i := range 160 {
 			w.after(time.Duration(i)*250*time.Millisecond, func() {
-				id := fmt.Sprintf("run-%06d", i)
+				id, image := fmt.Sprintf("run-%06d", i), "img"
+				if i%4 == 0 {
+					image = fmt.Sprintf("img-%d", i) // nowhere yet: it is fetched first
+				}
 				w.submit(&wire.Job{ID: id, Class: "c", Team: []string{"red", "blue"}[i%2], Shape: wire.ShapeArray, Rank: wire.RankNormal,
-					Tasks: 1, CPUs: 0.5, MemoryGB: 1, Image: fmt.Sprintf("img-%d", i%5), ImageGB: 1, EstimateS: 8})
+					Tasks: 1, CPUs: 0.5, MemoryGB: 1, Image: image, ImageGB: 1, EstimateS: 8})
 				if i%4 == 0 {
 					w.after(w.between(0, 3500), func() { w.cancel(id) })
 				}
--- a/internal/guards/standin_test.go
+++ b/internal/guards/standin_test.go
@@ -37,4 +37,11 @@
 		put:     "return refuse(http.StatusBadRequest, \"the job's description is too long\")",
 		test:    "internal/api:^TestRepeatedSubmissionIsNeverCalledMalformed$",
 	},
+	{
+		meeting: "jobs of one task come four a second and are cancelled as they start",
+		file:    "internal/core/leader.go",
+		cut:     "	l.pushDue[a.m.name] = true // with all other stops of this input\n",
+		put:     "",
+		test:    "internal/core:^TestNothingStartsAfterAConfirmedCancellation$",
+	},
 }
