--- a/internal/guards/standin_test.go
+++ b/internal/guards/standin_test.go
@@ -23,4 +23,25 @@
 		put:     "return \"\"",
 		test:    "internal/core:^TestUnexpectedMachinesAreReturned$",
 	},
+	{
+		meeting: "a malformed repeat of an accepted submission comes while the state service refuses",
+		file:    "internal/node/users.go",
+		cut:     "	case err != nil:\n		return n.pass(forwarded, fwd, err)\n	case found:",
+		put:     "	case err != nil:\n		return refusal\n	case found:",
+		test:    "internal/api:^TestRepeatedSubmissionIsNeverCalledMalformed$",
+	},
+	{
+		meeting: "a repeat of an accepted submission has become too long",
+		file:    "internal/node/users.go",
+		cut:     "return n.unlessKnown(ctx, job.ID, refuse(http.StatusBadRequest, \"the job's description is too long\"), fwd, forwarded)",
+		put:     "return refuse(http.StatusBadRequest, \"the job's description is too long\")",
+		test:    "internal/api:^TestRepeatedSubmissionIsNeverCalledMalformed$",
+	},
+	{
+		meeting: "jobs of one task come four a second and are cancelled as they start",
+		file:    "internal/core/leader.go",
+		cut:     "	l.pushDue[a.m.name] = true // with all other stops of this input\n",
+		put:     "",
+		test:    "internal/core:^TestNothingStartsAfterAConfirmedCancellation$",
+	},
 }
