Rounds, looks at all machines and at rentals are spaced by the processor's share

With less than a fifth of a core, they are now further apart by as much (Settings.CPUShare, tuning.UsualShare); with more nothing changes. Ruled out: the time of a report in the core (13 us). TestSmallShareHasFewerRounds counts rounds.

--- a/internal/core/batch.go
+++ b/internal/core/batch.go
@@ -246,6 +246,12 @@
 	l.line(false, "record unreadable: jobs that it may be about wait for every machine's report", "key", b.key, "err", err.Error())
 }
 
+// doubted reports whether a record that cannot be read may be about the job: none of it
+// is placed, and if it is cancelled it is not over, until that is settled. A later leader
+// would not know of an ended job's tasks whose limit they count for, and nothing of one
+// whose tasks nobody has seen is known to be gone.
+func (l *Leader) doubted(j *job) bool { return len(l.dark) > 0 && j.recovered }
+
 // proveUnreadable ends the wait for what unreadable records may have held: when
 // the cloud's list is of our term and all that it has was heard under our token.
 func (l *Leader) proveUnreadable() {
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -252,3 +252,25 @@
 		t.Error(err)
 	}
 }
+
+// A round in a burst: hundreds of jobs wait for machines that are full, and as many
+// machines again are booting. It looks at what is to be rented, too.
+func BenchmarkBurst(b *testing.B) {
+	sized(b, func(b *testing.B, f *fleet) {
+		due := 60.0
+		for i := range len(f.names) / 8 {
+			f.submit(wire.Job{ID: fmt.Sprintf("run-3%05d", i), Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 30, CPUs: 16, MemoryGB: 3, EstimateS: 40, DueS: &due, Spot: true})
+		}
+		for i := range len(f.names) / 2 {
+			f.l.addMachine(fmt.Sprintf("n-9%05d", i), "box", []string{"a", "b"}[i%2], true, "").ours = true
+		}
+		b.ResetTimer()
+		for range b.N {
+			f.now += f.l.placeGap()
+			f.l.now = f.clock()
+			f.l.rentAt = 0
+			f.l.rent(f.l.place())
+			f.l.Take()
+		}
+	})
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -34,11 +34,17 @@
 		l.thawedAt = now.Mono
 		l.line(false, "this process stood still", "for_s", (now.Mono - l.tickAt).Seconds())
 	}
-	for _, m := range l.sorted() {
-		l.watchMachine(m)
+	look := now.Mono-l.lookedAt >= l.lookGap()
+	if look {
+		l.lookedAt = now.Mono
+		for _, m := range l.sorted() {
+			l.watchMachine(m)
+		}
 	}
 	l.watchSilence()
-	l.returnMachines()
+	if look {
+		l.returnMachines()
+	}
 	if now.Mono-l.loadAt >= tuning.LoadLine {
 		l.loadAt = now.Mono
 		l.logLoad()
@@ -103,7 +109,22 @@
 
 // placeGap is the least time between two rounds: a round looks at every machine.
 func (l *Leader) placeGap() time.Duration {
-	return tuning.PlaceGap + time.Duration(len(l.machines))*tuning.PlaceGapMachine
+	return tuning.PlaceGap + l.slowed(time.Duration(len(l.machines))*tuning.PlaceGapMachine)
+}
+
+// lookGap is the least time between two ticks that look at every machine.
+func (l *Leader) lookGap() time.Duration {
+	return l.slowed(time.Duration(len(l.machines)) * tuning.LookGapMachine)
+}
+
+// slowed stretches what was measured for a process with tuning.UsualShare of a core, for
+// one that has less: it would spend all of its time on rounds while hundreds of jobs
+// wait, and fall behind with reports, so that machines stand empty beside them.
+func (l *Leader) slowed(d time.Duration) time.Duration {
+	if s := l.cfg.CPUShare; s > 0 && s < tuning.UsualShare {
+		return time.Duration(float64(d) * tuning.UsualShare / s)
+	}
+	return d
 }
 
 // retryDue wakes jobs whose pause after a failure is over.
@@ -638,7 +659,7 @@
 // rent asks for machines for what could not be placed, counting those that are
 // on their way, and for spare ones where price is no aim.
 func (l *Leader) rent(left []want) {
-	if len(l.types) == 0 || !l.listed || !l.leads() || l.rentAt > 0 && l.now.Mono-l.rentAt < tuning.RentGap {
+	if len(l.types) == 0 || !l.listed || !l.leads() || l.rentAt > 0 && l.now.Mono-l.rentAt < l.slowed(tuning.RentGap) {
 		return
 	}
 	l.rentAt = l.now.Mono
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -483,3 +483,40 @@
 		}
 	}
 }
+
+// With a smaller share of the processor, rounds of placement, looks at all machines and
+// looks at what to rent are further apart, by as much: counted here, not timed.
+func TestSmallShareHasFewerRounds(t *testing.T) {
+	rounds := func(share float64) (placed, looked, rented int) {
+		f := newFleet(t, 400)
+		f.l.cfg.CPUShare = share
+		for i := range 40 {
+			f.submit(wire.Job{ID: fmt.Sprintf("run-3%05d", i), Shape: wire.ShapeArray, Rank: wire.RankNormal, Tasks: 30, CPUs: 16, MemoryGB: 3, EstimateS: 40, Spot: true})
+		}
+		for range 400 {
+			f.now += 5 * time.Millisecond
+			was := [3]time.Duration{f.l.placedAt, f.l.lookedAt, f.l.rentAt}
+			f.l.heardAny = f.now
+			for _, m := range f.l.machines {
+				m.heardAt = f.now
+			}
+			f.l.dirtyPlace = true
+			f.l.Tick(f.clock())
+			f.l.Take()
+			for i, at := range []time.Duration{f.l.placedAt, f.l.lookedAt, f.l.rentAt} {
+				if at != was[i] {
+					*[]*int{&placed, &looked, &rented}[i]++
+				}
+			}
+		}
+		return placed, looked, rented
+	}
+	placed, looked, rented := rounds(tuning.UsualShare)
+	if p, l, r := rounds(0); p != placed || l != looked || r != rented {
+		t.Errorf("%d, %d and %d where the share is not known, %d, %d and %d with the usual one", p, l, r, placed, looked, rented)
+	}
+	p, l, r := rounds(tuning.UsualShare / 4)
+	if p*5 > placed*2 || l*3 > looked || r*3 > rented || p == 0 || l == 0 || r == 0 {
+		t.Errorf("with a quarter of the share %d rounds, %d looks and %d at rentals; with all of it %d, %d and %d", p, l, r, placed, looked, rented)
+	}
+}
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -86,7 +86,7 @@
 
 func (l *Leader) gatherEnded(t *txn) {
 	for _, j := range l.dueJobs(0) {
-		if !j.over() {
+		if !j.over() || j.cancelled && l.doubted(j) {
 			continue
 		}
 		if !l.room(t, 2) {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -44,6 +44,7 @@
 	ValueBytes int
 	WriteRate  float64
 	CloudRate  float64 // requests a second that the cloud takes; 0: not known
+	CPUShare   float64 // of a core, that this process has; 0: not known
 	Thrifty    bool
 	Aims       map[string]Aim // by class
 	// GuaranteeWithin is how soon work within a guarantee should start.
@@ -323,6 +324,7 @@
 	ahead      map[string]time.Duration // cancelled jobs that the watch has yet to bring, and since when
 	heldTo     time.Duration            // until then the lead is ours for certain
 	tickAt     time.Duration            // last tick
+	lookedAt   time.Duration            // when a tick last looked at all machines
 	thawedAt   time.Duration            // when this process last went on after it stood still
 	alone      time.Duration            // for how long ticks have found that no worker was heard
 	startedAt  time.Duration
@@ -674,7 +676,7 @@
 // alive for us counts from it, since what we could not stop may be there.
 func (l *Leader) SettledAsOf(at time.Duration) time.Duration {
 	for _, j := range l.jobs {
-		if j.cancelled && j.nActive > 0 {
+		if j.cancelled && (j.nActive > 0 || l.doubted(j)) {
 			at = min(at, j.knewAsOf)
 		}
 	}
--- a/internal/core/leader_test.go
+++ b/internal/core/leader_test.go
@@ -97,6 +97,37 @@
 	}
 }
 
+// A job that is cancelled while a record that may be about it cannot be read is not over,
+// and not seen through, before every machine was heard: its tasks may be anywhere.
+func TestCancelledWithAnUnreadableRecord(t *testing.T) {
+	j := wire.Job{ID: "run-000001", Tasks: 1, CPUs: 1, Team: "red", Shape: wire.ShapeService, Rank: wire.RankProduction}
+	for _, before := range []bool{true, false} {
+		live := map[string]*LiveJob{j.ID: {Record: &store.JobRecord{Job: j, Cancelled: before}, Stamp: 5}}
+		d := newDesk(t, false, live, []wire.Item{{Key: store.BatchKey(3, 1), Value: wire.Raw{0xa1, 0x61}, Stamp: 7}})
+		d.up("n-1")
+		list := []wire.ListedMachine{{Name: "n-1", Type: "box", Zone: "a", Address: "n-1:1", State: wire.MachineRunning, AgeS: 500},
+			{Name: "n-2", Type: "box", Zone: "a", Address: "n-2:1", State: wire.MachineRunning, AgeS: 500}}
+		d.now += time.Second
+		d.l.Listed(d.clock(), list)
+		if !before {
+			d.l.Cancelled(d.clock(), []string{j.ID})
+		}
+		d.pass(2*time.Second, "n-1")
+		if _, ended := d.items[store.EndedKey(j.ID)]; ended {
+			t.Fatalf("cancelled before: %v; ended while its task may be on a machine that was not heard", before)
+		}
+		if d.l.SettledAsOf(d.now) == d.now {
+			t.Errorf("cancelled before: %v; counts as seen through", before)
+		}
+		d.up("n-2")
+		d.l.Listed(d.clock(), list)
+		d.pass(2*time.Second, "n-1", "n-2")
+		if _, ended := d.items[store.EndedKey(j.ID)]; !ended || d.l.SettledAsOf(d.now) != d.now {
+			t.Errorf("cancelled before: %v; not ended once every machine was heard", before)
+		}
+	}
+}
+
 // The largest job's done bits spread over several values, each within the
 // limit, survive a change of leader, and are gone with the job's end.
 func TestLargestJob(t *testing.T) {
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -110,7 +110,7 @@
 		if j.waitSince == 0 {
 			j.waitSince = l.now.Mono
 		}
-		if len(l.dark) > 0 && j.recovered {
+		if l.doubted(j) {
 			j.why = "a record that may be about it cannot be read"
 			continue
 		}
--- a/internal/guards/node_test.go
+++ b/internal/guards/node_test.go
@@ -37,4 +37,18 @@
 		put:     "	cmds := []wire.Command{}\n",
 		test:    "internal/core:^TestEachRenewalStopsWhatIsCancelled$",
 	},
+	{
+		meeting: "a job is cancelled while a record that may be about it cannot be read",
+		file:    "internal/core/flush.go",
+		cut:     " || j.cancelled && l.doubted(j)",
+		put:     "",
+		test:    "internal/core:^TestCancelledWithAnUnreadableRecord$",
+	},
+	{
+		meeting: "the same, and other nodes keep workers alive",
+		file:    "internal/core/leader.go",
+		cut:     "j.nActive > 0 || l.doubted(j)",
+		put:     "j.nActive > 0",
+		test:    "internal/core:^TestCancelledWithAnUnreadableRecord$",
+	},
 }
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -261,7 +261,7 @@
 		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS), Cancel: config.Seconds(d.Workers.CancelS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
 		Aims: map[string]core.Aim{}, Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(),
-		CloudRate: d.Cloud.RPS, ListLag: config.Seconds(d.Cloud.ListLagS), Policy: n.policy,
+		CloudRate: d.Cloud.RPS, CPUShare: d.Quota.CPUShare, ListLag: config.Seconds(d.Cloud.ListLagS), Policy: n.policy,
 	}
 	for _, o := range d.Objectives {
 		aim := s.Aims[o.Class]
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -323,6 +323,12 @@
 	PlaceGap = 15 * time.Millisecond
 	// PlaceGapMachine is added to it for each machine, since each is looked at.
 	PlaceGapMachine = 50 * time.Microsecond
+	// LookGapMachine is the same for ticks that look at every machine, which cost about
+	// as much as a round of placement that has nothing to place.
+	LookGapMachine = 50 * time.Microsecond
+	// UsualShare is the share of a core for which these are meant, as are the times
+	// between two looks at what to rent. With less, they are longer by as much.
+	UsualShare = 0.2
 	// PeerEvery is the interval of pings between nodes, PeerTimeout the bound
 	// on one, and PeerDead how long without an answer makes a peer unreachable.
 	PeerEvery   = 700 * time.Millisecond
