Questions to machines are bounded where the share of the processor is small

Cause: a new leader of two thousand machines asked each of them for its report directly, at its first report and at once, up to 281 at a time.

Moved to a file of its own, and named: poke and polling are questions now.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
@@ -37,9 +38,7 @@
 	look := now.Mono-l.lookedAt >= l.lookGap()
 	if look {
 		l.lookedAt = now.Mono
-		for _, m := range l.sorted() {
-			l.watchMachine(m)
-		}
+		l.watchMachines()
 	}
 	l.watchSilence()
 	if look {
@@ -121,8 +120,8 @@
 // one that has less: it would spend all of its time on rounds while hundreds of jobs
 // wait, and fall behind with reports, so that machines stand empty beside them.
 func (l *Leader) slowed(d time.Duration) time.Duration {
-	if s := l.cfg.CPUShare; s > 0 && s < tuning.UsualShare {
-		return time.Duration(float64(d) * tuning.UsualShare / s)
+	if l.smallShare() {
+		return time.Duration(float64(d) * tuning.UsualShare / l.cfg.CPUShare)
 	}
 	return d
 }
@@ -183,6 +182,17 @@
 	return n
 }
 
+// watchMachines looks at every machine, first at those that found no place for a
+// question the last time.
+func (l *Leader) watchMachines() {
+	list := l.sorted()
+	first, _ := slices.BinarySearchFunc(list, l.questions.next, func(m *machine, name string) int { return strings.Compare(m.name, name) })
+	l.questions.next = ""
+	for i := range list {
+		l.watchMachine(list[(first+i)%len(list)])
+	}
+}
+
 // watchMachine sends what is due, probes, and gives up on what is lost.
 func (l *Leader) watchMachine(m *machine) {
 	if m.phase != up {
@@ -220,7 +230,7 @@
 	}
 	quiet := l.now.Mono - m.heardAt
 	if quiet > l.overdueReport() || !m.confirmed || m.deafSince > 0 || waiting && m.seenToken < l.token(m) {
-		l.poke(m)
+		l.askForReport(m)
 	}
 }
 
@@ -250,7 +260,7 @@
 		if m.phase == booting && it.State == wire.MachineRunning && now.Mono-m.knownAt > l.cfg.Report {
 			// Up before our term, or its first report went elsewhere: ask it.
 			l.markUp(m)
-			l.poke(m)
+			l.askForReport(m)
 		}
 		if it.State == wire.MachineFailed && !m.failed {
 			m.failed = true
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -193,7 +193,7 @@
 	if len(asked) != n {
 		t.Errorf("%d of %d machines asked", len(asked), n)
 	}
-	d.now += 16 * tuning.PokePause
+	d.now += 16 * tuning.QuestionPause
 	round() // the silent ones hold their places
 	if len(d.calls) != tuning.QuestionsOut/2 {
 		t.Errorf("%d places held by machines that do not answer", len(d.calls))
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -134,7 +134,7 @@
 	directUsed                 bool   // starts went directly under the present fence
 	calling                    bool   // a direct call is out
 	callAgain                  bool
-	pokedAt                    time.Duration
+	askedAt                    time.Duration // last question, see askForReport
 
 	tasks           map[taskRef]*attempt
 	exited          map[taskRef]exit // told by the worker, dealt with by us, not yet forgotten
@@ -306,7 +306,7 @@
 	dark      []string      // records that could not be read
 	dirtyJobs map[*job]bool // with something to write
 	pausing   map[*job]bool // after a failed attempt
-	polling   int           // questions that are out
+	questions questions
 	rentAt    time.Duration // when machines were last asked for
 	listedAt  time.Duration // when the cloud's list last came
 	budget    float64
@@ -377,7 +377,7 @@
 		rentals: map[string]*rentalState{}, noCap: map[offer]time.Duration{},
 		gone: map[string]bool{}, zoneHeard: map[string]time.Duration{}, zoneBack: map[string]time.Duration{}, pushDue: map[string]bool{}, batches: map[string]*batch{},
 		dirtyJobs: map[*job]bool{}, pausing: map[*job]bool{}, ahead: map[string]time.Duration{},
-		budget: cfg.WriteRate, budgetAt: now.Mono,
+		budget: cfg.WriteRate, budgetAt: now.Mono, questions: questions{budget: tuning.QuestionsOut, budgetAt: now.Mono},
 		heardAny: now.Mono, tickAt: now.Mono, startedAt: now.Mono, dirtyPlace: true, placedAt: now.Mono - time.Second,
 	}
 	l.SetTypes(now, types)
@@ -405,7 +405,7 @@
 		if l.pushDue[m.name] {
 			l.push(m) // its answer is the report that we ask the others for
 		}
-		l.poke(m)
+		l.askForReport(m)
 	}
 	return l
 }
--- a/internal/core/meetings_machines_test.go
+++ b/internal/core/meetings_machines_test.go
@@ -209,8 +209,8 @@
 			m := d.l.machines["n-1"]
 			tick := m.tick
 			if c.direct {
-				m.pokedAt = 0
-				d.l.poke(m)
+				m.askedAt = 0
+				d.l.askForReport(m)
 				call := d.l.Take().Direct[0]
 				d.l.CallDone(d.clock(), call.ID, CallRefused, r)
 			} else if _, ok := d.l.Checkin(d.clock(), r); ok {
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -50,7 +50,7 @@
 	}
 	if !m.confirmed || r.Token < l.token(m) && l.waiting(m) {
 		// Its next report, under our token, comes sooner if it is asked.
-		l.poke(m)
+		l.askForReport(m)
 	}
 	return wire.CheckinReply{Token: l.token(m), Commands: cmds}, true
 }
@@ -676,26 +676,6 @@
 	l.call(m, cmds, starts)
 }
 
-// poke asks a machine for its report under our token.
-func (l *Leader) poke(m *machine) {
-	if m.phase != up || m.addr == "" || m.calling || m.pokedAt > 0 && l.now.Mono-m.pokedAt < tuning.PokePause<<min(m.unanswered, 3) {
-		return
-	}
-	// The next tick asks on. Machines that did not answer last time have half of
-	// the places at the most: each holds one until its call is given up, and in a
-	// cut zone there are hundreds, while others only wait to be asked.
-	places := max(tuning.QuestionsOut, min(len(l.machines)/tuning.QuestionsPart, tuning.QuestionsMost))
-	if m.unanswered > 0 {
-		places /= 2
-	}
-	if l.polling >= places || l.pushDue[m.name] {
-		return // what is to be pushed asks as well
-	}
-	m.pokedAt = l.now.Mono
-	l.polling++
-	l.call(m, []wire.Command{}, nil)
-}
-
 func (l *Leader) call(m *machine, cmds []wire.Command, starts []*attempt) {
 	l.nextID++
 	l.calls[l.nextID] = &callState{m: m, fence: m.fence, runs: starts, poll: len(cmds) == 0}
@@ -727,7 +707,7 @@
 	m := cs.m
 	m.calling = false
 	if cs.poll {
-		l.polling--
+		l.questions.out--
 	}
 	for _, a := range cs.runs {
 		a.calling = false
@@ -782,8 +762,8 @@
 		m.callAgain = false
 		l.push(m)
 		if !m.confirmed {
-			m.pokedAt = 0
-			l.poke(m)
+			m.askedAt = 0
+			l.askForReport(m)
 		}
 	}
 	m.callAgain = false
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -224,9 +224,19 @@
 	// WorkerConnsIdle is how many connections to workers are kept without a call,
 	// to all together: hundreds of them would take the platform's sockets.
 	WorkerConnsIdle = 64
-	// PokePause is the least time between two direct calls to a machine that
+	// QuestionPause is the least time between two direct questions to a machine that
 	// does not answer.
-	PokePause = 2 * time.Second
+	QuestionPause = 2 * time.Second
+	// QuestionRate is how many questions a second there may be at the most for a whole
+	// core, where the process has less than UsualShare of one. A question costs some
+	// 0.4 ms (a connection of its own, its system calls and packets), and all of them
+	// together may take a fifth of the share: asking two thousand machines at once takes
+	// 7% of a core twelve seconds, in which the leader's own lease runs out.
+	QuestionRate = 500.0
+	// AnswersSoon is how long after our answer to a worker no question is asked there
+	// where they are bounded: a token that is new to it is news, which it reports within
+	// half a second.
+	AnswersSoon = 1500 * time.Millisecond
 	// QuestionsOut is how many machines are asked for their reports at once: each
 	// costs a connection, and a new leader has hundreds to ask. Large fleets get a
 	// place for each QuestionsPart machines, up to QuestionsMost: of two thousand,
