--- a/internal/core/batch.go
+++ b/internal/core/batch.go
@@ -52,7 +52,7 @@
 			delete(m.batches, b)
 		}
 	}
-	l.tombs = append(l.tombs, b.key)
+	l.obsoleteKeys = append(l.obsoleteKeys, b.key)
 }
 
 // gatherBatches writes attempts that wait for their record, those of the highest
@@ -246,11 +246,11 @@
 	l.line(false, "record unreadable: jobs that it may be about wait for every machine's report", "key", b.key, "err", err.Error())
 }
 
-// doubted reports whether a record that cannot be read may be about the job: none of it
+// inUnreadableRecord reports whether a record that cannot be read may be about the job: none of it
 // is placed, and if it is cancelled it is not over, until that is settled. A later leader
 // would not know of an ended job's tasks whose limit they count for, and nothing of one
 // whose tasks nobody has seen is known to be gone.
-func (l *Leader) doubted(j *job) bool { return len(l.dark) > 0 && j.recovered }
+func (l *Leader) inUnreadableRecord(j *job) bool { return len(l.dark) > 0 && j.recovered }
 
 // proveUnreadable ends the wait for what unreadable records may have held: when
 // the cloud's list is of our term and all that it has was heard under our token.
@@ -263,7 +263,7 @@
 			return
 		}
 	}
-	l.tombs = append(l.tombs, l.dark...)
+	l.obsoleteKeys = append(l.obsoleteKeys, l.dark...)
 	l.dark = nil
 	l.dirtyPlace = true
 }
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -28,7 +28,7 @@
 	asked int // questions, without commands
 	puts  int // changes written so far
 
-	share  float64 // of the processor, that the next leader has
+	share float64 // of the processor, that the next leader has
 }
 
 func fleetSettings() Settings {
--- a/internal/core/deadline.go
+++ b/internal/core/deadline.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		cpus, mem := m.mt.CPUs, m.mt.MemoryGB
-		if d := m.digested(); d.services > 0 {
+		if d := m.summarize(); d.services > 0 {
 			cpus -= d.serviceCPUs
 			mem -= d.serviceMem
 		}
@@ -126,7 +126,7 @@
 		if j.service {
 			services[j.spec.Team] += float64(j.spec.Tasks) * j.spec.CPUs
 		}
-		if j.service || len(j.dues) == 0 || l.doubtful(j) {
+		if j.service || len(j.dues) == 0 || l.likelyFaulty(j) {
 			continue
 		}
 		w := l.work(j)
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -25,14 +25,14 @@
 	}
 }
 
-// Lonely is why a leader resigns that serves nobody.
-const Lonely = "no worker reaches this node"
+// NoWorkerReports is why a leader resigns that serves nobody.
+const NoWorkerReports = "no worker reaches this node"
 
 // Tick does what falls due with time.
 func (l *Leader) Tick(now Now) {
 	l.now = now
-	if now.Mono-l.tickAt > tuning.StoodStill {
-		l.thawedAt = now.Mono
+	if now.Mono-l.tickAt > tuning.ProcessPause {
+		l.resumedAt = now.Mono
 		l.line(false, "this process stood still", "for_s", (now.Mono - l.tickAt).Seconds())
 	}
 	look := now.Mono-l.lookedAt >= l.lookGap()
@@ -82,9 +82,9 @@
 	if n == 0 {
 		return
 	}
-	limit := l.cfg.Report * tuning.LonelyReports * tuning.LonelyMachines / time.Duration(max(n, tuning.LonelyMachines))
-	if l.alone > max(limit, tuning.LonelyLeast) {
-		l.out.Resign = Lonely
+	limit := l.cfg.Report * tuning.SilentIntervals * tuning.SilentMachines / time.Duration(max(n, tuning.SilentMachines))
+	if l.alone > max(limit, tuning.SilentLeast) {
+		l.out.Resign = NoWorkerReports
 	}
 }
 
@@ -229,7 +229,7 @@
 		l.push(m)
 	}
 	quiet := l.now.Mono - m.heardAt
-	if quiet > l.overdueReport() || !m.confirmed || m.deafSince > 0 || waiting && m.seenToken < l.token(m) {
+	if quiet > l.overdueReport() || !m.confirmed || m.unreachableSince > 0 || waiting && m.seenToken < l.token(m) {
 		l.askForReport(m)
 	}
 }
@@ -271,7 +271,7 @@
 
 // returnMachines gives back what is broken, lost, too slow to come up, or idle.
 func (l *Leader) returnMachines() {
-	if l.now.Mono < l.relRetry || !l.leads() {
+	if l.now.Mono < l.releaseRetryAt || !l.leads() {
 		return
 	}
 	silentZone := l.silentZones()
@@ -293,8 +293,8 @@
 		if why == "" {
 			continue
 		}
-		l.line(m.saidWhy == why, "giving machine back", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot, "why", why, "tasks", len(m.tasks))
-		m.phase, m.saidWhy = releasing, why // repeated while the cloud refuses
+		l.line(m.loggedReason == why, "giving machine back", "machine", m.name, "type", m.typ, "zone", m.zone, "spot", m.spot, "why", why, "tasks", len(m.tasks))
+		m.phase, m.loggedReason = releasing, why // repeated while the cloud refuses
 		for _, a := range m.list() {
 			if !a.sent {
 				l.detach(a)
@@ -323,7 +323,7 @@
 		if m.failed {
 			return "failed while starting"
 		}
-		if now-m.rentedAt > patience && now-max(m.knownAt, l.thawedAt) > tuning.NewcomerGrace {
+		if now-m.rentedAt > patience && now-max(m.knownAt, l.resumedAt) > tuning.NewcomerGrace {
 			// The grace is for those that came up before our term, or while we
 			// stood still: they report within seconds, and were given back by
 			// mistake without it.
@@ -333,7 +333,7 @@
 	}
 	// Silence while this process stood still is not theirs: what they sent has yet
 	// to be read, or went elsewhere.
-	quiet := now - max(m.heardAt, l.thawedAt)
+	quiet := now - max(m.heardAt, l.resumedAt)
 	if m.failed && quiet > l.cfg.Report*2 {
 		return "failed"
 	}
@@ -342,7 +342,7 @@
 	}
 	// Of a zone that was silent and is back, machines are heard one by one.
 	quiet = min(quiet, now-l.zoneBack[m.zone])
-	if m.vain >= tuning.AskedInVain && quiet > l.overdueReport()+tuning.CommandTimeout*tuning.AskedInVain && len(m.tasks) > 0 {
+	if m.unansweredSinceHeard >= tuning.AskedInVain && quiet > l.overdueReport()+tuning.CommandTimeout*tuning.AskedInVain && len(m.tasks) > 0 {
 		// It is dead, hangs or is cut off. Until its lease ends its tasks could
 		// start nowhere else; the answer to the release lets them at once.
 		return "silent, and questions stay unanswered"
@@ -352,7 +352,7 @@
 		// be old. So this proves nothing: the answer to the release does.
 		return "silent and no longer listed"
 	}
-	if m.deafSince > 0 && now-max(m.deafSince, l.thawedAt) > l.cfg.Lease {
+	if m.unreachableSince > 0 && now-max(m.unreachableSince, l.resumedAt) > l.cfg.Lease {
 		return "nothing reaches it"
 	}
 	if quiet > l.cfg.Lease-tuning.ReleaseAhead {
@@ -497,7 +497,7 @@
 	}
 	j := s.big
 	for _, m := range l.machines {
-		if m.spot || m.phase != up || m.mt == nil || m.failed || m.leaveBy > 0 || m.deafSince > 0 || !j.allows(m.typ, m.zone, m.spot) {
+		if m.spot || m.phase != up || m.mt == nil || m.failed || m.leaveBy > 0 || m.unreachableSince > 0 || !j.allows(m.typ, m.zone, m.spot) {
 			continue
 		}
 		cpus, mem := m.mt.CPUs, m.mt.MemoryGB
@@ -604,7 +604,7 @@
 func (l *Leader) Released(now Now, names []string, res ReleaseResult) {
 	l.now = now
 	if res != ReleaseDone {
-		l.relRetry = now.Mono + tuning.CloudRetry
+		l.releaseRetryAt = now.Mono + tuning.CloudRetry
 		for _, n := range names {
 			m := l.machines[n]
 			switch {
@@ -668,7 +668,7 @@
 
 // rent asks for machines for what could not be placed, counting those that are
 // on their way, and for spare ones where price is no aim.
-func (l *Leader) rent(left []want) {
+func (l *Leader) rent(left []unplaced) {
 	if len(l.types) == 0 || !l.listed || !l.leads() || l.rentAt > 0 && l.now.Mono-l.rentAt < l.slowed(tuning.RentGap) {
 		return
 	}
--- a/internal/core/fleet_test.go
+++ b/internal/core/fleet_test.go
@@ -146,7 +146,7 @@
 		}
 		return d.now - begun
 	}
-	if s := silent(400, tuning.TickEvery); s > tuning.LonelyLeast+time.Second {
+	if s := silent(400, tuning.TickEvery); s > tuning.SilentLeast+time.Second {
 		t.Errorf("400 machines: resigned after %v", s)
 	}
 	if s := silent(2, tuning.TickEvery); s < 40*time.Second || s > 41*time.Second {
--- a/internal/core/flush.go
+++ b/internal/core/flush.go
@@ -86,7 +86,7 @@
 
 func (l *Leader) gatherEnded(t *txn) {
 	for _, j := range l.dueJobs(0) {
-		if !j.over() || j.cancelled && l.doubted(j) {
+		if !j.over() || j.cancelled && l.inUnreadableRecord(j) {
 			continue
 		}
 		if !l.room(t, 2) {
@@ -158,9 +158,9 @@
 // gatherDeleted deletes batches that nothing needs any more, and the further done
 // bits of ended jobs.
 func (l *Leader) gatherDeleted(t *txn) {
-	for len(l.tombs) > 0 && l.room(t, 1) {
-		key := l.tombs[0]
-		l.tombs = l.tombs[1:]
+	for len(l.obsoleteKeys) > 0 && l.room(t, 1) {
+		key := l.obsoleteKeys[0]
+		l.obsoleteKeys = l.obsoleteKeys[1:]
 		t.t.Apply = append(t.t.Apply, wire.Change{Delete: key})
 		t.state.deleted = append(t.state.deleted, key)
 	}
@@ -199,7 +199,7 @@
 		l.holdOff = now.Mono + tuning.StateRetry
 	}
 	if res != CommitDone {
-		l.tombs = append(l.tombs, cs.deleted...)
+		l.obsoleteKeys = append(l.obsoleteKeys, cs.deleted...)
 	}
 	for _, w := range cs.jobs {
 		l.jobWritten(w, res, rev, bad)
@@ -230,7 +230,7 @@
 			state = wire.JobCancelled
 		}
 		for _, k := range slices.Sorted(maps.Keys(j.chunks)) {
-			l.tombs = append(l.tombs, store.BitsKey(j.id, k))
+			l.obsoleteKeys = append(l.obsoleteKeys, store.BitsKey(j.id, k))
 		}
 		l.line(false, "job over", "job", j.id, "state", state, "after_s", (l.now.Mono - j.created).Seconds())
 		j.saved = append(store.Bitmap(nil), j.done...)
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -108,23 +108,23 @@
 	spot                  bool
 	mt                    *wire.MachineType
 
-	phase      phase
-	knownAt    time.Duration // when this term first knew of it
-	rentedAt   time.Duration
-	upAt       time.Duration
-	heardAt    time.Duration // last sign of life
-	idleSince  time.Duration
-	leaveBy    time.Duration // when the cloud takes it; 0: not announced
-	askAgain   bool          // its release has to be asked for once more
-	failed     bool          // the cloud says that it has stopped
-	listedOnce bool          // the cloud has listed it in this term
-	saidWhy    string        // why it was last given back, for the log
-	missing    int           // lists since the last one that had it
-	suspect    time.Duration // avoided until then
-	pauseTo    time.Duration // no starts until then
-	failedBy   map[string]bool
-	keptFor    string        // job for which room was made here
-	keptTo     time.Duration // until when it is kept
+	phase        phase
+	knownAt      time.Duration // when this term first knew of it
+	rentedAt     time.Duration
+	upAt         time.Duration
+	heardAt      time.Duration // last sign of life
+	idleSince    time.Duration
+	leaveBy      time.Duration // when the cloud takes it; 0: not announced
+	askAgain     bool          // its release has to be asked for once more
+	failed       bool          // the cloud says that it has stopped
+	listedOnce   bool          // the cloud has listed it in this term
+	loggedReason string        // why it was last given back, for the log
+	missing      int           // lists since the last one that had it
+	suspect      time.Duration // avoided until then
+	pauseTo      time.Duration // no starts until then
+	failedBy     map[string]bool
+	keptFor      string        // job for which room was made here
+	keptTo       time.Duration // until when it is kept
 
 	// Order of its messages, and what it has seen.
 	session, tick, checkinTick uint64
@@ -141,16 +141,16 @@
 	extras          []wire.Command   // stops of attempts that are not in our picture
 	images          []image          // most recently used last
 	cpus, gpus, mem float64
-	digest          *digest         // what placement asks of its tasks, until they change
+	taskSummary     *taskSummary    // what placement asks of its tasks, until they change
 	batches         map[*batch]bool // records that name it
 
-	// deafSince is since when it seems that nothing reaches it although its
+	// unreachableSince is since when it seems that nothing reaches it although its
 	// reports arrive; 0: it hears us. See deaf.
-	deafSince  time.Duration
-	unanswered int           // direct calls in a row
-	vain       int           // the same since its last sign of life
-	answeredAt time.Duration // its last report, which we answered
-	ours       bool          // rented in this term
+	unreachableSince     time.Duration
+	unanswered           int           // direct calls in a row
+	unansweredSinceHeard int           // the same since its last sign of life
+	answeredAt           time.Duration // its last report, which we answered
+	ours                 bool          // rented in this term
 }
 
 type image struct {
@@ -313,25 +313,25 @@
 	budgetAt  time.Duration
 	holdOff   time.Duration // no writes until then: the state service refused
 
-	dirtyPlace bool
-	placedAt   time.Duration
-	loadAt     time.Duration
-	listed     bool // the cloud's list was read in this term
-	heardAny   time.Duration
-	zoneHeard  map[string]time.Duration // see ZoneHeard
-	zoneBack   map[string]time.Duration // when a zone was last silent as a whole
-	knewAsOf   time.Duration            // see KnowsAsOf
-	ahead      map[string]time.Duration // cancelled jobs that the watch has yet to bring, and since when
-	heldTo     time.Duration            // until then the lead is ours for certain
-	tickAt     time.Duration            // last tick
-	lookedAt   time.Duration            // when a tick last looked at all machines
-	thawedAt   time.Duration            // when this process last went on after it stood still
-	alone      time.Duration            // for how long ticks have found that no worker was heard
-	startedAt  time.Duration
-	tombs      []string        // keys to delete when there is time
-	gone       map[string]bool // given back in this term; names are never used again
-	relRetry   time.Duration
-	pushDue    map[string]bool // machines for which a stop waits to be sent
+	dirtyPlace     bool
+	placedAt       time.Duration
+	loadAt         time.Duration
+	listed         bool // the cloud's list was read in this term
+	heardAny       time.Duration
+	zoneHeard      map[string]time.Duration // see ZoneHeard
+	zoneBack       map[string]time.Duration // when a zone was last silent as a whole
+	knewAsOf       time.Duration            // see KnowsAsOf
+	ahead          map[string]time.Duration // cancelled jobs that the watch has yet to bring, and since when
+	heldTo         time.Duration            // until then the lead is ours for certain
+	tickAt         time.Duration            // last tick
+	lookedAt       time.Duration            // when a tick last looked at all machines
+	resumedAt      time.Duration            // when this process last went on after it stood still
+	alone          time.Duration            // for how long ticks have found that no worker was heard
+	startedAt      time.Duration
+	obsoleteKeys   []string        // keys to delete when there is time
+	gone           map[string]bool // given back in this term; names are never used again
+	releaseRetryAt time.Duration
+	pushDue        map[string]bool // machines for which a stop waits to be sent
 }
 
 type commitState struct {
@@ -464,7 +464,7 @@
 	}
 	j := l.jobs[id]
 	if j == nil {
-		l.tombs = append(l.tombs, it.Key) // left by a job that has ended
+		l.obsoleteKeys = append(l.obsoleteKeys, it.Key) // left by a job that has ended
 		return
 	}
 	j.chunks[chunk] = it.Stamp
@@ -485,7 +485,7 @@
 // attach enters an attempt everywhere that counts it.
 func (l *Leader) attach(a *attempt) {
 	a.m.tasks[a.ref] = a
-	a.m.digest = nil
+	a.m.taskSummary = nil
 	if a.job == nil {
 		return
 	}
@@ -518,7 +518,7 @@
 		return
 	}
 	delete(m.tasks, a.ref)
-	m.digest = nil
+	m.taskSummary = nil
 	if len(m.tasks) == 0 {
 		m.idleSince = l.now.Mono
 		m.cpus, m.gpus, m.mem = 0, 0, 0 // sheds rounding
@@ -676,7 +676,7 @@
 // alive for us counts from it, since what we could not stop may be there.
 func (l *Leader) SettledAsOf(at time.Duration) time.Duration {
 	for _, j := range l.jobs {
-		if j.cancelled && (j.nActive > 0 || l.doubted(j)) {
+		if j.cancelled && (j.nActive > 0 || l.inUnreadableRecord(j)) {
 			at = min(at, j.knewAsOf)
 		}
 	}
@@ -752,7 +752,7 @@
 		return
 	}
 	a.halt, a.haltSave, a.haltedAt = true, save, 0
-	a.m.digest = nil
+	a.m.taskSummary = nil
 	if !a.sent {
 		l.detach(a)
 		return
--- a/internal/core/meetings_machines_test.go
+++ b/internal/core/meetings_machines_test.go
@@ -185,8 +185,8 @@
 	other := d.view("n-2", c.Body.Token)
 	other.Address, other.Tick = m.addr, 1000
 	d.l.CallDone(d.clock(), c.ID, CallExecuted, other)
-	if len(m.tasks) != 1 || m.heardAt != heard || m.vain == 0 {
-		t.Errorf("%d tasks, heard %v then %v, %d questions in vain", len(m.tasks), heard, m.heardAt, m.vain)
+	if len(m.tasks) != 1 || m.heardAt != heard || m.unansweredSinceHeard == 0 {
+		t.Errorf("%d tasks, heard %v then %v, %d questions in vain", len(m.tasks), heard, m.heardAt, m.unansweredSinceHeard)
 	}
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -17,26 +17,26 @@
 // idleRank is the lowest rank, that of work for what is free.
 var idleRank = wire.RankOrder(wire.RankIdle)
 
-// want is what was left unplaced of a job after a round.
-type want struct {
+// unplaced is what was left unplaced of a job after a round.
+type unplaced struct {
 	j *job
 	n int
 }
 
-// digest is what placement asks of a machine's tasks.
-type digest struct {
+// taskSummary is what placement asks of a machine's tasks.
+type taskSummary struct {
 	blocked                 bool // something is there whose size we do not know
 	services                int  // tasks of services, and what they take
 	serviceCPUs, serviceMem float64
 	fetching                map[string]float64 // images on their way, without those of stopped tasks
 }
 
-// digested gives the machine's digest, made anew after its tasks have changed.
-func (m *machine) digested() *digest {
-	if m.digest != nil {
-		return m.digest
+// summarize gives the machine's taskSummary, made anew after its tasks have changed.
+func (m *machine) summarize() *taskSummary {
+	if m.taskSummary != nil {
+		return m.taskSummary
 	}
-	d := &digest{}
+	d := &taskSummary{}
 	for _, a := range m.tasks {
 		if a.job == nil {
 			d.blocked = true
@@ -54,7 +54,7 @@
 			d.fetching[a.job.spec.Image] = a.job.spec.ImageGB
 		}
 	}
-	m.digest = d
+	m.taskSummary = d
 	return d
 }
 
@@ -70,11 +70,11 @@
 }
 
 // place assigns waiting tasks to machines, in order, and says what was left.
-func (l *Leader) place() []want {
+func (l *Leader) place() []unplaced {
 	l.dirtyPlace = false
 	_, total := l.capacity()
 	queue := l.queue(total)
-	var left []want
+	var left []unplaced
 	r := &round{claimed: map[*machine]float64{}}
 	for _, j := range l.jobs {
 		if j.rank == idleRank {
@@ -110,11 +110,11 @@
 		if j.waitSince == 0 {
 			j.waitSince = l.now.Mono
 		}
-		if l.doubted(j) {
+		if l.inUnreadableRecord(j) {
 			j.why = "a record that may be about it cannot be read"
 			continue
 		}
-		if l.doubtful(j) && !j.spec.Gang() {
+		if l.likelyFaulty(j) && !j.spec.Gang() {
 			// It is tried with one task at a time until one stays.
 			if n = min(n, 1-j.nActive); n <= 0 {
 				j.why = "it has failed on every machine so far"
@@ -181,7 +181,7 @@
 			if i < turns && could > 0 {
 				l.preempt(r, j, rest, math.Inf(1))
 			}
-			left = append(left, want{j, min(n, budget) - placed})
+			left = append(left, unplaced{j, min(n, budget) - placed})
 		} else if n > placed {
 			j.why = "its team is at its limit"
 		} else {
@@ -204,7 +204,7 @@
 		return
 	}
 	for _, m := range l.sorted() {
-		if m.mt != nil && m.cpus+cpus <= m.mt.CPUs+epsilon && m.mem+mem <= m.mt.MemoryGB+epsilon && l.usable(m) && !m.digested().blocked {
+		if m.mt != nil && m.cpus+cpus <= m.mt.CPUs+epsilon && m.mem+mem <= m.mt.MemoryGB+epsilon && l.usable(m) && !m.summarize().blocked {
 			r.roomy = append(r.roomy, m)
 		}
 	}
@@ -455,7 +455,7 @@
 	var list []*machine
 	room := map[string]int{}
 	for _, m := range l.sorted() {
-		if l.usable(m) && !m.digested().blocked && j.allows(m.typ, m.zone, m.spot) && slots(m) > 0 {
+		if l.usable(m) && !m.summarize().blocked && j.allows(m.typ, m.zone, m.spot) && slots(m) > 0 {
 			list = append(list, m)
 			room[m.zone] += slots(m)
 		}
@@ -513,7 +513,7 @@
 		return sum
 	}
 	for _, m := range l.sorted() {
-		if !l.usable(m) || m.digested().blocked || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) {
+		if !l.usable(m) || m.summarize().blocked || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) {
 			continue
 		}
 		cpus, gpus, mem := m.mt.CPUs, m.mt.GPUs, m.mt.MemoryGB
@@ -559,7 +559,7 @@
 		// What nothing has begun of for long gets its first tasks, whatever comes
 		// after it: the order by deadlines alone gives up the largest first, and
 		// under lasting overload again and again.
-		j.unbegun = !j.service && l.now.Mono-j.created > tuning.BeginBy && !l.hasBegun(j) && !l.doubtful(j)
+		j.unbegun = !j.service && l.now.Mono-j.created > tuning.BeginBy && !l.hasBegun(j) && !l.likelyFaulty(j)
 		j.overdue = j.unbegun && l.beginWith(j, total) > 0
 		teams[j.spec.Team] = append(teams[j.spec.Team], j)
 		if j.pending() > 0 && l.now.Mono >= j.retryAt {
@@ -623,11 +623,11 @@
 	return out
 }
 
-// doubtful reports whether the job seems to be submitted with a mistake: it has failed
+// likelyFaulty reports whether the job seems to be submitted with a mistake: it has failed
 // on several machines, and nothing of it has come to stay or now runs for longer than
 // it takes to fail. A faulty machine fails others' work too, and the job's own work
 // succeeds elsewhere.
-func (l *Leader) doubtful(j *job) bool {
+func (l *Leader) likelyFaulty(j *job) bool {
 	if len(j.failedOn) < tuning.JobSuspectMachines || l.hasBegun(j) {
 		return false
 	}
@@ -748,7 +748,7 @@
 // what is placed there meanwhile waits with that start.
 func (l *Leader) usable(m *machine) bool {
 	return (m.unanswered == 0 || m.seenToken >= l.token(m)) &&
-		m.phase == up && m.confirmed && !m.failed && m.leaveBy == 0 && m.mt != nil && m.deafSince == 0 &&
+		m.phase == up && m.confirmed && !m.failed && m.leaveBy == 0 && m.mt != nil && m.unreachableSince == 0 &&
 		m.pauseTo <= l.now.Mono && l.now.Mono-m.heardAt < l.cfg.Report*3
 }
 
@@ -767,7 +767,7 @@
 
 // fetchingOther reports whether the machine fetches an image other than this.
 func (m *machine) fetchingOther(name string) bool {
-	d := m.digested()
+	d := m.summarize()
 	if _, same := d.fetching[name]; same {
 		return len(d.fetching) > 1
 	}
@@ -778,7 +778,7 @@
 // counts the job's tasks by zone, same those on the machine.
 func (l *Leader) score(j *job, m *machine, z map[string]int, same int) float64 {
 	s := 0.0
-	d := m.digested()
+	d := m.summarize()
 	if j.spec.ImageGB > 0 && !m.has(j.spec.Image) {
 		fetch := j.spec.ImageGB / max(m.mt.FetchGBs, 0.01)
 		others := len(d.fetching)
@@ -979,7 +979,7 @@
 		if !math.IsInf(below, 1) && (!m.has(j.spec.Image) || l.score(j, m, z, same[m]) >= below) {
 			continue
 		}
-		if !l.usable(m) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.digested().blocked || m.suspect > l.now.Mono {
+		if !l.usable(m) || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) || m.summarize().blocked || m.suspect > l.now.Mono {
 			continue
 		}
 		// What is being stopped already will make room too, once.
--- a/internal/core/place_test.go
+++ b/internal/core/place_test.go
@@ -171,7 +171,7 @@
 			t.Errorf("%s, which came at %v, began at %v", id, at, begun)
 		}
 	}
-	if l := d.l; l.doubtful(l.jobs["run-000001"]) != true {
+	if l := d.l; l.likelyFaulty(l.jobs["run-000001"]) != true {
 		t.Error("a job that fails everywhere is not doubted")
 	}
 	faulty = true
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -26,7 +26,7 @@
 		// again then as if it were silent.
 		reply = wire.CheckinReply{Token: l.token(m), Commands: []wire.Command{}}
 		if r.Newer(m.session, m.tick) {
-			m.heardAt, m.vain, l.heardAny = now.Mono, 0, now.Mono
+			m.heardAt, m.unansweredSinceHeard, l.heardAny = now.Mono, 0, now.Mono
 			// A lease that is kept has to bring stops with it: where releases get no
 			// answer for long, cancelled tasks would run on here past their time.
 			reply.Commands = l.halts(m, true)
@@ -37,10 +37,10 @@
 	// changes nothing.
 	fresh := r.Newer(m.session, m.tick)
 	if fresh {
-		l.hearing(m, r)
+		l.watchDelivery(m, r)
 		m.answeredAt = now.Mono
 		l.heardAny = now.Mono
-		m.heardAt, m.vain = now.Mono, 0
+		m.heardAt, m.unansweredSinceHeard = now.Mono, 0
 		delete(l.zoneHeard, m.zone)
 		l.takeReport(m, r, true)
 	}
@@ -72,21 +72,21 @@
 	return true
 }
 
-// hearing watches whether our answers reach the worker. A new session although we
+// watchDelivery watches whether our answers reach the worker. A new session although we
 // answered the one before within its lease says that they did not. Such a machine
 // gets no new work, and is given back unless a direct call shows that it hears us.
-func (l *Leader) hearing(m *machine, r *wire.Report) {
+func (l *Leader) watchDelivery(m *machine, r *wire.Report) {
 	switch {
 	case m.session > 0 && r.Session > m.session && m.answeredAt > 0 && l.now.Mono-m.answeredAt < l.cfg.Lease*3/4 && l.now.Mono-l.startedAt > l.cfg.Lease:
-		l.deaf(m, "its lease ran out although it was answered")
+		l.markUnreachable(m, "its lease ran out although it was answered")
 	case Term(r.Token) == l.term && r.Token > m.seenToken:
-		m.deafSince = 0 // it has heard a token that is new since its last report
+		m.unreachableSince = 0 // it has heard a token that is new since its last report
 	}
 }
 
-func (l *Leader) deaf(m *machine, why string) {
-	if m.deafSince == 0 {
-		m.deafSince = l.now.Mono
+func (l *Leader) markUnreachable(m *machine, why string) {
+	if m.unreachableSince == 0 {
+		m.unreachableSince = l.now.Mono
 		l.line(false, "machine seems not to hear us", "machine", m.name, "why", why, "tasks", len(m.tasks))
 	}
 }
@@ -175,7 +175,7 @@
 				// Another attempt of this task is here: an old one that has to
 				// go before ours can start.
 				listed[ref] = true
-				l.foreign(m, ref, t)
+				l.unexpectedAttempt(m, ref, t)
 			} else {
 				still[ref] = exit{t.Attempt, t.Cause == wire.CauseDone}
 				if t.Cause == wire.CauseDone && a.job != nil {
@@ -195,7 +195,7 @@
 			continue
 		}
 		if a == nil {
-			l.foreign(m, ref, t)
+			l.unexpectedAttempt(m, ref, t)
 			a = m.tasks[ref]
 			if a == nil {
 				continue
@@ -223,10 +223,10 @@
 	}
 }
 
-// foreign deals with a task that the worker has and we did not place there.
+// unexpectedAttempt deals with a task that the worker has and we did not place there.
 // If nothing else has it, it is adopted; otherwise it is stopped, and counts
 // until it is gone.
-func (l *Leader) foreign(m *machine, ref taskRef, t *wire.TaskReport) {
+func (l *Leader) unexpectedAttempt(m *machine, ref taskRef, t *wire.TaskReport) {
 	j := l.jobs[ref.job]
 	if have := m.tasks[ref]; have != nil {
 		if have.sent && !have.seen {
@@ -279,7 +279,7 @@
 	if a.state == t.State {
 		return
 	}
-	a.m.digest = nil
+	a.m.taskSummary = nil
 	l.line(true, "task state", "task", t.Task, "machine", a.m.name, "state", t.State)
 	if a.job != nil {
 		if a.state == wire.TaskRunning {
@@ -297,7 +297,7 @@
 
 // fetched notes that the machine has an image, as the most recently used.
 func (m *machine) fetched(name string, gb float64) {
-	m.digest = nil
+	m.taskSummary = nil
 	for i, im := range m.images {
 		if im.name == name {
 			m.images = append(append(m.images[:i:i], m.images[i+1:]...), image{name, gb})
@@ -400,7 +400,7 @@
 // wherever it runs says nothing about machines, those that it was held against
 // before included.
 func (l *Leader) blame(m *machine, j *job) {
-	if !l.doubtful(j) {
+	if !l.likelyFaulty(j) {
 		m.failedBy[j.id] = true
 		if len(m.failedBy) >= tuning.SuspectJobs {
 			if m.suspect < l.now.Mono {
@@ -614,8 +614,8 @@
 	if a.firstSent == 0 {
 		a.firstSent = now
 	} else {
-		if a.m.heardAt > a.firstSent+tuning.DeafAfter {
-			l.deaf(a.m, "a start is not acknowledged") // its reports arrive, what we send does not
+		if a.m.heardAt > a.firstSent+tuning.UnreachableAfter {
+			l.markUnreachable(a.m, "a start is not acknowledged") // its reports arrive, what we send does not
 		}
 		l.count.ProbeRetry++
 		l.line(false, "start not acknowledged, probing again", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", a.m.name, "probe", a.probes)
@@ -718,9 +718,9 @@
 	if r != nil && r.Machine != m.name {
 		res, r = CallLost, nil // another machine has this address now
 	}
-	m.vain++
+	m.unansweredSinceHeard++
 	if m.unanswered++; res != CallLost {
-		m.unanswered, m.vain = 0, 0
+		m.unanswered, m.unansweredSinceHeard = 0, 0
 	}
 	switch res {
 	case CallLost:
@@ -753,7 +753,7 @@
 		l.heardAny = now.Mono
 		m.heardAt = now.Mono
 		delete(l.zoneHeard, m.zone)
-		m.deafSince = 0 // it answered what we sent just now
+		m.unreachableSince = 0 // it answered what we sent just now
 		if r.Newer(m.session, m.tick) {
 			l.takeReport(m, r, false)
 		}
--- a/internal/core/report_test.go
+++ b/internal/core/report_test.go
@@ -98,7 +98,7 @@
 		d.answerAll(CallLost)
 		d.now += tuning.TickEvery
 		m := d.l.machines["n-1"]
-		d.l.heardAny, m.heardAt, m.deafSince = d.now, d.now, 0 // neither silence nor deafness is the matter here
+		d.l.heardAny, m.heardAt, m.unreachableSince = d.now, d.now, 0 // neither silence nor deafness is the matter here
 		d.l.Tick(d.clock())
 		d.settle()
 	}
@@ -334,7 +334,7 @@
 	r := d.view("n-1", d.token("n-1"))
 	r.Session = 2
 	d.l.Checkin(d.clock(), r)
-	if m := d.l.machines["n-1"]; m.deafSince == 0 || d.l.usable(m) {
+	if m := d.l.machines["n-1"]; m.unreachableSince == 0 || d.l.usable(m) {
 		t.Fatal("usable though its answers are lost")
 	}
 	d.l.Tick(d.clock())
@@ -345,7 +345,7 @@
 	answer := d.view("n-1", d.calls[0].Body.Token)
 	answer.Session = 2
 	d.l.CallDone(d.clock(), d.calls[0].ID, CallExecuted, answer)
-	if m := d.l.machines["n-1"]; m.deafSince != 0 {
+	if m := d.l.machines["n-1"]; m.unreachableSince != 0 {
 		t.Error("still taken for deaf")
 	}
 }
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -86,25 +86,25 @@
 )
 
 type simNode struct {
-	w       *world
-	name    string
-	leader  *core.Leader
-	permit  uint64
-	term    uint64
-	boot    int
-	replica *core.Replica
-	refused time.Duration // by the state service, until then
-	cut     time.Duration // from the state service and all peers, until then
-	alone   time.Duration // from all workers, until then
-	dead    time.Duration // until then
-	frozen  time.Duration // until then: it does nothing, and then what came meanwhile
-	born    time.Duration // its process's start
-	waits   bool          // for a slow answer to its watch
-	known   time.Duration // as of when its replica has all changes
-	vouched map[*simNode]time.Duration
-	told    []string      // cancellations that users were told of here
-	led     time.Duration // as of when it knew all cancellations while it led
-	ledTerm uint64
+	w             *world
+	name          string
+	leader        *core.Leader
+	permit        uint64
+	term          uint64
+	boot          int
+	replica       *core.Replica
+	refused       time.Duration // by the state service, until then
+	cut           time.Duration // from the state service and all peers, until then
+	alone         time.Duration // from all workers, until then
+	dead          time.Duration // until then
+	frozen        time.Duration // until then: it does nothing, and then what came meanwhile
+	born          time.Duration // its process's start
+	waits         bool          // for a slow answer to its watch
+	known         time.Duration // as of when its replica has all changes
+	confirmedAsOf map[*simNode]time.Duration
+	told          []string      // cancellations that users were told of here
+	led           time.Duration // as of when it knew all cancellations while it led
+	ledTerm       uint64
 }
 
 type event struct {
@@ -456,7 +456,7 @@
 		(w.zoneOf(n.name) == w.zoneOf(p.name) || w.zoneCut[w.zoneOf(n.name)] <= w.now && w.zoneCut[w.zoneOf(p.name)] <= w.now)
 }
 
-// hearPeers learns what users were told at the others, as node.vouches has it, and
+// hearPeers learns what users were told at the others, as node.takeConfirmations has it, and
 // as of when the leader has seen cancellations through.
 func (n *simNode) hearPeers() {
 	for _, p := range n.w.nodes {
@@ -468,7 +468,7 @@
 		}
 		if n.leader != nil {
 			if p.born < n.known {
-				n.vouched[p] = n.w.now
+				n.confirmedAsOf[p] = n.w.now
 			}
 			n.leader.KnowsAsOf(n.asOf())
 			if n.w.without != peersLists {
@@ -489,7 +489,7 @@
 		if p.born >= n.known {
 			return n.known
 		}
-		least = min(least, n.vouched[p])
+		least = min(least, n.confirmedAsOf[p])
 	}
 	return max(n.known, least)
 }
@@ -569,7 +569,7 @@
 		}
 		all := func(prefix string) []wire.Item { return w.state.Range(w.now, prefix, "", 1000).Items }
 		n.replica.Reset(all(store.JobPrefix), w.state.Epoch)
-		n.known, n.ledTerm, n.vouched = w.now, n.term, map[*simNode]time.Duration{}
+		n.known, n.ledTerm, n.confirmedAsOf = w.now, n.term, map[*simNode]time.Duration{}
 		n.leader = core.NewLeader(w.coreNow(), w.settings, n.term, n.replica, all(store.BitsPrefix), all(store.BatchPrefix), w.types)
 		n.leader.Held(w.now + tuning.LeaseTTL)
 		n.drain()
--- a/internal/guards/leader_test.go
+++ b/internal/guards/leader_test.go
@@ -47,7 +47,7 @@
 	{
 		meeting: "jobs are cancelled at a node that recovers as the next leader",
 		file:    "internal/node/election.go",
-		cut:     "leader.Cancelled(n.now(), n.told.list)",
+		cut:     "leader.Cancelled(n.now(), n.confirmed.list)",
 		put:     "",
 		test:    "internal/node:^TestCancelledWhileRecovering$",
 	},
--- a/internal/guards/node_test.go
+++ b/internal/guards/node_test.go
@@ -5,13 +5,13 @@
 	{
 		meeting: "the leader may have missed cancellations for longer than leaves time for one",
 		file:    "internal/node/workers.go",
-		cut:     "if n.leader != nil && n.entitled() {",
+		cut:     "if n.leader != nil && n.mayRenewLeases() {",
 		put:     "if n.leader != nil {",
 		test:    "internal/node:^TestLeaderAnswersAsLongAsItKnows$",
 	},
 	{
 		meeting: "a peer that starts anew forgets which cancellations it told",
-		file:    "internal/node/asof.go",
+		file:    "internal/node/confirmations.go",
 		cut:     "if !p.begun.Before(n.knownAt) {",
 		put:     "if false {",
 		test:    "internal/node:^TestKnowledge$",
@@ -40,14 +40,14 @@
 	{
 		meeting: "a job is cancelled while a record that may be about it cannot be read",
 		file:    "internal/core/flush.go",
-		cut:     " || j.cancelled && l.doubted(j)",
+		cut:     " || j.cancelled && l.inUnreadableRecord(j)",
 		put:     "",
 		test:    "internal/core:^TestCancelledWithAnUnreadableRecord$",
 	},
 	{
 		meeting: "the same, and other nodes keep workers alive",
 		file:    "internal/core/leader.go",
-		cut:     "j.nActive > 0 || l.doubted(j)",
+		cut:     "j.nActive > 0 || l.inUnreadableRecord(j)",
 		put:     "j.nActive > 0",
 		test:    "internal/core:^TestCancelledWithAnUnreadableRecord$",
 	},
--- a/internal/guards/reports_test.go
+++ b/internal/guards/reports_test.go
@@ -136,14 +136,14 @@
 	{
 		meeting: "a machine's reports arrive, and nothing reaches it",
 		file:    reportFile,
-		cut:     "l.deaf(a.m, \"a start is not acknowledged\")",
-		put:     "_ = tuning.DeafAfter",
+		cut:     "l.markUnreachable(a.m, \"a start is not acknowledged\")",
+		put:     "_ = tuning.UnreachableAfter",
 		test:    "internal/core:^TestDeafMachine$",
 	},
 	{
 		meeting: "a session ends though it was answered",
 		file:    reportFile,
-		cut:     "l.deaf(m, \"its lease ran out although it was answered\")",
+		cut:     "l.markUnreachable(m, \"its lease ran out although it was answered\")",
 		put:     "_ = m",
 		test:    "internal/core:^TestSessionLostThoughAnswered$",
 	},
@@ -171,7 +171,7 @@
 	{
 		meeting: "machines open no connections, and only questions tell of them",
 		file:    fleetFile,
-		cut:     "if quiet > l.overdueReport() || !m.confirmed || m.deafSince > 0 || waiting && m.seenToken < l.token(m) {",
+		cut:     "if quiet > l.overdueReport() || !m.confirmed || m.unreachableSince > 0 || waiting && m.seenToken < l.token(m) {",
 		put:     "if quiet < 0 {",
 		test:    "internal/core:^TestMuteMachineUnderANewLeader$",
 	},
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -42,11 +42,11 @@
 	Served  bool           `cbor:"served,omitempty"`
 	Running map[string]int `cbor:"running,omitempty"`
 
-	Leading  bool     `cbor:"leading,omitempty"` // the sender is the leader, and works
-	LedMilli int64    `cbor:"led_ms,omitempty"`  // how long ago all cancellations were seen through, by the leader of Term
-	UpMilli  int64    `cbor:"up_ms,omitempty"`   // for how long the sender has run
-	From     uint64   `cbor:"from,omitempty"`
-	Told     []string `cbor:"told,omitempty"`
+	Leading   bool     `cbor:"leading,omitempty"` // the sender is the leader, and works
+	LedMilli  int64    `cbor:"led_ms,omitempty"`  // how long ago all cancellations were seen through, by the leader of Term
+	UpMilli   int64    `cbor:"up_ms,omitempty"`   // for how long the sender has run
+	From      uint64   `cbor:"from,omitempty"`
+	Confirmed []string `cbor:"told,omitempty"`
 }
 
 // Kinds of forwarded requests.
--- a/internal/node/asof_test.go
+++ b/internal/node/confirmations_test.go
@@ -24,7 +24,7 @@
 		n := quiet
 		n.knownAt, n.peers = time.Time{}, map[string]*peer{}
 		type remote struct {
-			told told
+			told confirmations
 			boot uint64
 			born time.Time
 		}
@@ -62,7 +62,7 @@
 				boots++
 				*r = remote{boot: boots, born: now}
 			case 3:
-				tell(r, tuning.ToldKept+1)
+				tell(r, tuning.ConfirmationsKept+1)
 			case 4:
 				n.knownAt = now
 				for id := range at {
@@ -75,14 +75,14 @@
 					have = 0
 				}
 				pong := mesh.Pong{Boot: r.boot, UpMilli: 1 + now.Sub(r.born).Milliseconds()}
-				pong.From, pong.Told = r.told.after(have)
-				pong.Told = append([]string(nil), pong.Told...)
+				pong.From, pong.Confirmed = r.told.after(have)
+				pong.Confirmed = append([]string(nil), pong.Confirmed...)
 				if rapid.Bool().Draw(t, "tells meanwhile") {
 					tell(r, 1)
 				}
 				pass() // and its answer
-				p.vouches(pong, asked, now)
-				for _, id := range pong.Told {
+				p.takeConfirmations(pong, asked, now)
+				for _, id := range pong.Confirmed {
 					knows[id] = true
 				}
 			}
@@ -116,7 +116,7 @@
 		t.Error("answered by a leader that may have missed a cancellation")
 	}
 	for _, p := range n.peers {
-		p.begun, p.vouched = n.knownAt.Add(-time.Minute), time.Now()
+		p.begun, p.confirmedAsOf = n.knownAt.Add(-time.Minute), time.Now()
 	}
 	if !answered() {
 		t.Error("not answered though every peer has listed what it told")
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -240,11 +240,11 @@
 			leader = core.NewLeader(n.now(), n.coreSettings(), term, n.replica, bits, append(records, earlier...), n.types)
 			for _, p := range n.peers {
 				// What came of their lists while nobody here led is gone: all again.
-				p.have, p.vouched = 0, time.Time{}
+				p.have, p.confirmedAsOf = 0, time.Time{}
 			}
 			// Our own list is told to no one who asks: what users were told here between
 			// the read above and now, no answer of the watch may bring for long.
-			leader.Cancelled(n.now(), n.told.list)
+			leader.Cancelled(n.now(), n.confirmed.list)
 			leader.AckLatency = func(d time.Duration) { _ = n.ack.RecordValue(min(max(1, d.Milliseconds()), 600_000)) }
 			leader.Held(n.heldTo.Sub(n.start))
 			for _, p := range n.peers {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,24 +43,24 @@
 	workers *worker.Client
 	mesh    *mesh.Client
 
-	mu       sync.Mutex
-	replica  *core.Replica
-	types    []wire.MachineType
-	leader   *core.Leader // nil unless this node leads
-	permit   uint64       // the lease of our lead
-	heldTo   time.Time    // until then that lease lasts, if it is not renewed
-	lost     chan struct{}
-	lead     leadInfo
-	barred   time.Time // no candidate until then
-	peers    map[string]*peer
-	without  func() time.Duration // for how long the state service has not served us
-	led      time.Time            // as of when all cancellations were seen through, by the leader of the term known
-	knownAt  time.Time            // as of when the replica has all changes
-	told     told
-	settling bool
-	totals   core.Counters // of earlier terms
-	ack      *hdrhistogram.Histogram
-	answers  *hdrhistogram.Histogram
+	mu        sync.Mutex
+	replica   *core.Replica
+	types     []wire.MachineType
+	leader    *core.Leader // nil unless this node leads
+	permit    uint64       // the lease of our lead
+	heldTo    time.Time    // until then that lease lasts, if it is not renewed
+	lost      chan struct{}
+	lead      leadInfo
+	barred    time.Time // no candidate until then
+	peers     map[string]*peer
+	without   func() time.Duration // for how long the state service has not served us
+	led       time.Time            // as of when all cancellations were seen through, by the leader of the term known
+	knownAt   time.Time            // as of when the replica has all changes
+	confirmed confirmations
+	settling  bool
+	totals    core.Counters // of earlier terms
+	ack       *hdrhistogram.Histogram
+	answers   *hdrhistogram.Histogram
 
 	syncMu sync.Mutex
 	next   *syncCall
@@ -84,16 +84,16 @@
 
 type peer struct {
 	config.Peer
-	heard   time.Time // when it was last asked and answered, or asked us
-	boot    uint64    // its process
-	have    uint64    // up to where we have that process's list of cancellations
-	begun   time.Time // the list has all that it told since then
-	vouched time.Time // as of when we have the list, see asOf
-	served  bool      // by the state service, when it was last heard
-	idle    bool      // it does not lead although it should: its process has started anew
-	refused time.Time // last time that it refused a connection
-	unable  time.Time // last time that it could not decide a request passed on
-	running map[string]int
+	heard         time.Time // when it was last asked and answered, or asked us
+	boot          uint64    // its process
+	have          uint64    // up to where we have that process's list of cancellations
+	begun         time.Time // the list has all that it told since then
+	confirmedAsOf time.Time // as of when we have the list, see asOf
+	served        bool      // by the state service, when it was last heard
+	idle          bool      // it does not lead although it should: its process has started anew
+	refused       time.Time // last time that it refused a connection
+	unable        time.Time // last time that it could not decide a request passed on
+	running       map[string]int
 }
 
 // New makes a node. Run starts it.
@@ -205,7 +205,7 @@
 				n.stepDown(n.leader, "cut off from the state service and most peers")
 				return
 			}
-			if !n.entitled() {
+			if !n.mayRenewLeases() {
 				n.stepDown(n.leader, "cancellations may have passed it by for too long")
 				return
 			}
@@ -382,7 +382,7 @@
 	n.led = later(n.led, n.settledAsOf())
 	n.endTerm()
 	n.lead.name = ""
-	if why == core.Lonely {
+	if why == core.NoWorkerReports {
 		// Whoever is in a better place goes first. After other ends nobody is
 		// barred: five nodes that depose each other would leave no candidate.
 		n.barred = time.Now().Add(tuning.ResignPause)
@@ -543,9 +543,9 @@
 					}
 					p.idle = pong.Leader == p.Name && !pong.Leading
 					n.leaderKnows()
-					p.vouches(pong, begun, time.Now())
-					if n.leader != nil && len(pong.Told) > 0 {
-						n.leader.Cancelled(n.now(), pong.Told)
+					p.takeConfirmations(pong, begun, time.Now())
+					if n.leader != nil && len(pong.Confirmed) > 0 {
+						n.leader.Cancelled(n.now(), pong.Confirmed)
 					}
 					p.running = pong.Running
 					n.hearLead(pong.Leader, pong.Term)
@@ -609,7 +609,7 @@
 		if p.HaveBoot != n.boot {
 			p.Have = 0
 		}
-		out.From, out.Told = n.told.after(p.Have)
+		out.From, out.Confirmed = n.confirmed.after(p.Have)
 		if n.leader != nil {
 			out.Running = n.leader.Running()
 		}
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -248,7 +248,7 @@
 // What was read before the process stood still is not told as fresh.
 func TestReadBeforeAStandstillIsReadAgain(t *testing.T) {
 	reads := 0
-	err := reread(func() (time.Time, error) {
+	err := readFresh(func() (time.Time, error) {
 		if reads++; reads < 3 {
 			return time.Now().Add(-time.Minute), nil
 		}
@@ -257,7 +257,7 @@
 	if err != nil || reads != 3 {
 		t.Errorf("read %d times: %v", reads, err)
 	}
-	if err := reread(func() (time.Time, error) { return time.Time{}, context.DeadlineExceeded }); err == nil {
+	if err := readFresh(func() (time.Time, error) { return time.Time{}, context.DeadlineExceeded }); err == nil {
 		t.Error("a read that failed was told")
 	}
 }
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -121,15 +121,15 @@
 // before this process stood still for a while is read again: others may have told the
 // user something newer meanwhile.
 func (n *Node) known(ctx context.Context, id string) (v wire.JobView, found bool, err error) {
-	err = reread(func() (at time.Time, err error) {
-		v, found, at, err = n.look(ctx, id)
+	err = readFresh(func() (at time.Time, err error) {
+		v, found, at, err = n.readState(ctx, id)
 		return at, err
 	})
 	return v, found, err
 }
 
-// reread looks until what was read is as fresh as an answer has to be.
-func reread(look func() (at time.Time, err error)) error {
+// readFresh looks until what was read is as fresh as an answer has to be.
+func readFresh(look func() (at time.Time, err error)) error {
 	for {
 		if at, err := look(); err != nil || time.Since(at) < tuning.AnswerWithin {
 			return err
@@ -137,8 +137,8 @@
 	}
 }
 
-// look is one try of known. It also says when what it tells was read.
-func (n *Node) look(ctx context.Context, id string) (v wire.JobView, found bool, at time.Time, err error) {
+// readState is one try of known. It also says when what it tells was read.
+func (n *Node) readState(ctx context.Context, id string) (v wire.JobView, found bool, at time.Time, err error) {
 	n.mu.Lock()
 	rec, ok := n.replica.Ended(id)
 	n.mu.Unlock()
--- a/internal/node/workers.go
+++ b/internal/node/workers.go
@@ -22,7 +22,7 @@
 func (n *Node) Checkin(r *wire.Report) WorkerAnswer {
 	var out WorkerAnswer
 	n.do(func() {
-		if n.leader != nil && n.entitled() {
+		if n.leader != nil && n.mayRenewLeases() {
 			reply, ok := n.leader.Checkin(n.now(), r)
 			if ok {
 				out = WorkerAnswer{Status: http.StatusOK, Reply: reply}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -59,9 +59,9 @@
 	// LeaderFresh is the same for the leader: its right to answer workers counts from
 	// the last such read, and a zone that is cut off is kept alive for as much less.
 	LeaderFresh = 1 * time.Second
-	// ToldKept is how many of the cancellations that users were told of here a node
+	// ConfirmationsKept is how many of the cancellations that users were told of here a node
 	// can list to a leader that the state service does not serve.
-	ToldKept = 1000
+	ConfirmationsKept = 1000
 	// StateRetry is the pause after a refusal or a lost answer.
 	StateRetry = 250 * time.Millisecond
 	// ReadPage is the page size of a full read, in items. 512 KiB a page is the
@@ -249,9 +249,9 @@
 	// how much later than the protocol allows a report may come before the first.
 	AskedInVain = 2
 	ReportSlack = 500 * time.Millisecond
-	// DeafAfter is how long after a start a report that does not show it says
+	// UnreachableAfter is how long after a start a report that does not show it says
 	// that the start did not arrive, where a probe is due as well.
-	DeafAfter = 1 * time.Second
+	UnreachableAfter = 1 * time.Second
 	// ReleaseAhead is how long before its lease must have ended a silent
 	// machine is given back: about as long as the call takes. Its tasks end
 	// themselves then in any case; the answer proves it.
@@ -329,9 +329,9 @@
 	// TickEvery is the pace of the leader's housekeeping. Everything urgent is
 	// done when its event arrives.
 	TickEvery = 200 * time.Millisecond
-	// StoodStill is how far apart two ticks have to be for the process to have stood
+	// ProcessPause is how far apart two ticks have to be for the process to have stood
 	// still: a busy one falls behind by less.
-	StoodStill = 1500 * time.Millisecond
+	ProcessPause = 1500 * time.Millisecond
 	// LoadLine is the interval of the line on the cluster's load, at debug.
 	LoadLine = 10 * time.Second
 	// PlaceGap is the least time between two placement rounds, to batch
@@ -366,13 +366,13 @@
 	// and timers that fire late. Cancellations that were not seen through when the
 	// cut began need none, since that time counts from before them.
 	KeepaliveMargin = 1 * time.Second
-	// LonelyReports is how many report intervals a leader of up to LonelyMachines
+	// SilentIntervals is how many report intervals a leader of up to SilentMachines
 	// machines may go without hearing from any worker before it resigns; with more,
-	// the time is shorter by as much, but LonelyLeast at the least: longer than
+	// the time is shorter by as much, but SilentLeast at the least: longer than
 	// connections that are lost all at once take to come back.
-	LonelyReports  = 4
-	LonelyMachines = 16
-	LonelyLeast    = 3 * time.Second
+	SilentIntervals = 4
+	SilentMachines  = 16
+	SilentLeast     = 3 * time.Second
 	// SubmitPatience is how long a submission may be tried at the state service
 	// before it is refused; users give up after 5 s.
 	SubmitPatience = 2500 * time.Millisecond
