Renting looks no more at slots that are full

Cause: in a burst, each of hundreds of waiting jobs was tried on every machine that is on its way, full ones included, and a job that had found room for all of its tasks went on to the end of the list.

What is asked for is the same: a slot is passed over only where the least of what is left does not fit.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -662,6 +662,20 @@
 	return true
 }
 
+// amounts is an amount of each resource that is scarce on every machine.
+type amounts struct{ cpus, mem float64 }
+
+// leastOf is the least of each amount that any task of the jobs takes.
+func leastOf(left []unplaced) amounts {
+	least := amounts{math.Inf(1), math.Inf(1)}
+	for _, w := range left {
+		least.cpus, least.mem = min(least.cpus, w.j.spec.CPUs), min(least.mem, w.j.spec.MemoryGB)
+	}
+	return least
+}
+
+func (s *slot) fits(a amounts) bool { return s.cpus+epsilon >= a.cpus && s.mem+epsilon >= a.mem }
+
 func newSlot(t *wire.MachineType, zone string, spot bool) *slot {
 	return &slot{t.Name, zone, spot, t, t.CPUs, t.GPUs, t.MemoryGB}
 }
@@ -716,12 +730,20 @@
 		coming = append(coming, newSlot(l.types[o.typ], o.zone, o.spot))
 		return true
 	}
+	least := leastOf(left)
+	full := 0 // slots at the front in which nothing of what is left fits any more
 	for _, w := range left {
 		n := w.n
-		for _, s := range coming {
+		for full < len(coming) && !coming[full].fits(least) {
+			full++
+		}
+		for _, s := range coming[full:] {
 			for n > 0 && s.take(w.j) {
 				n--
 			}
+			if n == 0 {
+				break
+			}
 		}
 		for n > 0 && order(w.j) {
 			s := coming[len(coming)-1]
