--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -377,26 +377,25 @@
 						}
 						return
 					}
-					for _, d := range w.fate(name, n.name) {
-						if w.deaf[name] > w.now {
-							break
-						}
-						if until := w.hung[name]; until > w.now+d {
-							d = until - w.now // it reads the answer when it resumes
-						}
-						w.after(d, func() {
-							if !answered && w.now-sent < 4*time.Second && w.hung[name] <= w.now {
-								answered = true
-								wk.Reply(w.now, sent, session, reply)
-								if len(reply.Commands) > 0 {
-									// What changes is reported at once, or nearly.
-									early = true
-									w.after(max(0, sent+500*time.Millisecond-w.now), next)
-								}
-							}
-						})
-						break // a response is read once
+					copies := w.fate(name, n.name)
+					if len(copies) == 0 || w.deaf[name] > w.now {
+						return
 					}
+					d := copies[0] // a response is read once
+					if until := w.hung[name]; until > w.now+d {
+						d = until - w.now // it reads the answer when it resumes
+					}
+					w.after(d, func() {
+						if !answered && w.now-sent < 4*time.Second && w.hung[name] <= w.now {
+							answered = true
+							wk.Reply(w.now, sent, session, reply)
+							if len(reply.Commands) > 0 {
+								// What changes is reported at once, or nearly.
+								early = true
+								w.after(max(0, sent+500*time.Millisecond-w.now), next)
+							}
+						}
+					})
 				})
 			})
 		}
