--- a/internal/guards/load_test.go
+++ b/internal/guards/load_test.go
@@ -13,8 +13,15 @@
 	{
 		meeting: "all workers come to a new leader whose share of the processor is small",
 		file:    "internal/node/election.go",
-		cut:     "return min(time.Duration(float64(tuning.LeaseTTL)*tuning.UsualShare/share), tuning.LeaseTTLMost)",
-		put:     "return tuning.LeaseTTL",
+		cut:     "return max(tuning.LeaseTTL, min(time.Duration(float64(tuning.LeaseTTL)*tuning.UsualShare/share), longest))",
+		put:     "_ = longest\n\treturn tuning.LeaseTTL",
+		test:    "internal/node:^TestLeaseGrowsAsTheShareShrinks$",
+	},
+	{
+		meeting: "two leaders end soon after each other, and the workers' leases are short",
+		file:    "internal/node/election.go",
+		cut:     "longest := min(tuning.LeaseTTLMost, config.Seconds(n.cfg.Deployment.Workers.LeaseS)/tuning.LeaseTTLPart)",
+		put:     "longest := tuning.LeaseTTLMost",
 		test:    "internal/node:^TestLeaseGrowsAsTheShareShrinks$",
 	},
 	{
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -102,14 +102,15 @@
 }
 
 // leaseTTL is the leader's lease, longer where the process has a small share of the
-// processor. No rule depends on its length, only for how long nobody leads after a
-// leader has fallen silent.
+// processor and the workers' leases outlast it. No rule depends on its length, only for
+// how long nobody leads after a leader has fallen silent.
 func (n *Node) leaseTTL() time.Duration {
 	share := n.cfg.Deployment.Quota.CPUShare
 	if share <= 0 || share >= tuning.UsualShare {
 		return tuning.LeaseTTL
 	}
-	return min(time.Duration(float64(tuning.LeaseTTL)*tuning.UsualShare/share), tuning.LeaseTTLMost)
+	longest := min(tuning.LeaseTTLMost, config.Seconds(n.cfg.Deployment.Workers.LeaseS)/tuning.LeaseTTLPart)
+	return max(tuning.LeaseTTL, min(time.Duration(float64(tuning.LeaseTTL)*tuning.UsualShare/share), longest))
 }
 
 // serveTerm recovers the records and leads until the lead is lost.
--- a/internal/node/lease_test.go
+++ b/internal/node/lease_test.go
@@ -14,17 +14,20 @@
 )
 
 // A leader with a small share of the processor asks for a lease that outlasts the load
-// of a failover, and relies on no more than it asked for.
+// of a failover, and that the workers' leases outlast, and relies on no more than that.
 func TestLeaseGrowsAsTheShareShrinks(t *testing.T) {
 	for _, tc := range []struct {
-		share float64
-		ttl   time.Duration
+		share   float64
+		workers float64 // their lease, in seconds
+		ttl     time.Duration
 	}{
-		{0, tuning.LeaseTTL},
-		{0.24, tuning.LeaseTTL},
-		{tuning.UsualShare / 2, 2 * tuning.LeaseTTL},
-		{0.072, tuning.LeaseTTLMost},
-		{0.001, tuning.LeaseTTLMost},
+		{0, 45, tuning.LeaseTTL},
+		{0.24, 45, tuning.LeaseTTL},
+		{tuning.UsualShare / 2, 45, 2 * tuning.LeaseTTL},
+		{0.072, 45, tuning.LeaseTTLMost},
+		{0.001, 45, tuning.LeaseTTLMost},
+		{0.072, 12, 3 * time.Second},
+		{0.072, 4, tuning.LeaseTTL},
 	} {
 		var asked wire.LeaseRequest
 		service := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -43,7 +46,7 @@
 			_, _ = w.Write(raw)
 		}))
 		n := quietNode(t)
-		n.cfg.Deployment.Quota.CPUShare = tc.share
+		n.cfg.Deployment.Quota.CPUShare, n.cfg.Deployment.Workers.LeaseS = tc.share, tc.workers
 		n.state = store.New(service.Listener.Addr().String(), 1000)
 		ctx, cancel := context.WithCancel(context.Background())
 		time.AfterFunc(tuning.StateRetry, cancel) // ends the term once it has begun
@@ -52,7 +55,7 @@
 		after := time.Now()
 		service.Close()
 		if got := time.Duration(asked.TTLMilli) * time.Millisecond; got != tc.ttl {
-			t.Errorf("share %v: a lease of %v, not %v", tc.share, got, tc.ttl)
+			t.Errorf("share %v, workers %v: a lease of %v, not %v", tc.share, tc.workers, got, tc.ttl)
 		}
 		if n.heldTo.Before(before.Add(tc.ttl)) || n.heldTo.After(after.Add(tc.ttl)) {
 			t.Errorf("share %v: the lead is relied on until %v after the request", tc.share, n.heldTo.Sub(before))
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -17,6 +17,10 @@
 	// its turn: a lease that ends meanwhile sends all of them to the next node. Much
 	// longer, and a leader that falls silent holds starts up for longer than a restart.
 	LeaseTTLMost = 6 * time.Second
+	// LeaseTTLPart bounds it by the workers' leases as well, to one part of so many: two
+	// leaders that end soon after each other leave the workers without an answer for two
+	// leases of the lead and two elections, and their tasks must outlast that.
+	LeaseTTLPart = 4
 	// RenewEvery is the renewal interval: a third of the TTL, so that one lost
 	// renewal and one late one do not cost the lead.
 	RenewEvery = 800 * time.Millisecond
