--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -304,17 +304,10 @@
 }
 
 // directCalls is how many direct calls there may be at once: a round of placement
-// may have something for every machine, and sockets do not reach for all of them. Nor does
-// a small share of the processor: an answer that is read after its call's time is over
-// counts as a machine that did not answer.
+// may have something for every machine, and sockets do not reach for all of them.
 func directCalls(cfg *config.Settings) int {
 	_, calls := cfg.Sockets()
-	calls = min(calls, tuning.DirectMost)
-	if share := cfg.Deployment.Quota.CPUShare; share > 0 && share < tuning.UsualShare {
-		inTime := int(share * tuning.CommandTimeout.Seconds() / 2 / tuning.CallCost.Seconds())
-		calls = min(calls, max(tuning.DirectLeast, inTime))
-	}
-	return calls
+	return min(calls, tuning.DirectMost)
 }
 
 func (n *Node) direct(l *core.Leader, c core.DirectCall) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -231,13 +231,10 @@
 	// QuestionPause is the least time between two direct questions to a machine that
 	// does not answer.
 	QuestionPause = 2 * time.Second
-	// CallCost is what a direct call takes of the processor: a connection of its own, its
-	// system calls and packets. With less than UsualShare of a core, no more calls are out
-	// at once than it can see to in half of CommandTimeout.
-	CallCost = 400 * time.Microsecond
 	// QuestionRate is how many questions a second there may be at the most for a whole
-	// core, where the process has less than UsualShare of one: as direct calls, all
-	// together may take a fifth of the share. Asking two thousand machines at once takes
+	// core, where the process has less than UsualShare of one. A question costs some
+	// 0.4 ms (a connection of its own, its system calls and packets), and all of them
+	// together may take a fifth of the share: asking two thousand machines at once takes
 	// 7% of a core twelve seconds, in which the leader's own lease runs out.
 	QuestionRate = 500.0
 	// AnswersSoon is how long after our answer to a worker no question is asked there
