--- a/cmd/yarrowgap/main.go
+++ b/cmd/yarrowgap/main.go
@@ -27,15 +27,16 @@
 )
 
 type cli struct {
-	Serve   serveCmd   `cmd:"" help:"Run a controller."`
-	Check   checkCmd   `cmd:"" help:"Check a settings file and an operator script without starting."`
-	Version versionCmd `cmd:"" help:"Print the version."`
-	Leader  leaderCmd  `cmd:"" help:"Show who leads."`
-	Job     jobCmd     `cmd:"" help:"Show a live job and why it waits."`
-	Waiting waitingCmd `cmd:"" help:"List jobs that wait, with the reason."`
-	Machine machineCmd `cmd:"" name:"machines" help:"List the machines."`
-	Failure failureCmd `cmd:"" name:"failures" help:"List failed attempts, the newest first."`
-	Metrics metricsCmd `cmd:"" help:"Show a controller's counters and latencies."`
+	Serve   serveCmd    `cmd:"" help:"Run a controller."`
+	Check   checkCmd    `cmd:"" help:"Check a settings file and an operator script without starting."`
+	Version versionCmd  `cmd:"" help:"Print the version."`
+	Leader  leaderCmd   `cmd:"" help:"Show who leads."`
+	Job     jobCmd      `cmd:"" help:"Show a live job and why it waits."`
+	Waiting waitingCmd  `cmd:"" help:"List jobs that wait, with the reason."`
+	Machine machineCmd  `cmd:"" name:"machines" help:"List the machines."`
+	Failure failureCmd  `cmd:"" name:"failures" help:"List failed attempts, the newest first."`
+	Recover recoveryCmd `cmd:"" name:"recovery" help:"Show how far the leader has squared machines and records, and what differed."`
+	Metrics metricsCmd  `cmd:"" help:"Show a controller's counters and latencies."`
 }
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/yarrowgap/serve.go
+++ b/cmd/yarrowgap/serve.go
@@ -14,6 +14,7 @@
 	"github.com/yarrowgap/yarrowgap/internal/api"
 	"github.com/yarrowgap/yarrowgap/internal/httpd"
 	"github.com/yarrowgap/yarrowgap/internal/node"
+	"github.com/yarrowgap/yarrowgap/internal/tracing"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
@@ -46,7 +47,12 @@
 	for _, s := range cfg.Shortfalls() {
 		log.Error("settings fall short", "what", s)
 	}
+	tracer, err := tracing.Open(pol.TraceFile, cfg.Node)
+	if err != nil {
+		return usageError{err}
+	}
 	n := node.New(cfg, pol, log)
+	n.Trace(tracer)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log.Info("serving", "bind", cfg.Bind, "mesh", cfg.MeshAddr, "zone", cfg.Zone, "version", version)
@@ -77,6 +83,9 @@
 	case <-done:
 	case <-down.Done():
 	}
+	if closeErr := tracer.Close(down); err == nil {
+		err = closeErr
+	}
 	return err
 }
 
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -34,6 +34,7 @@
 	handlers  []http.Handler // of users and workers, in the order in which they began
 
 	settings []string
+	policy   policy.Settings
 	ctx      context.Context
 }
 
@@ -44,7 +45,7 @@
 		c.t.Fatal(err)
 	}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	n := node.New(cfg, policy.Defaults(false), log)
+	n := node.New(cfg, c.policy, log)
 	nctx, stop := context.WithCancel(ctx)
 	handler := api.New(n, log, func() bool { return false })
 	c.handlers = append(c.handlers, handler)
@@ -77,7 +78,14 @@
 }
 
 func start(t testing.TB, size int) *cluster {
-	c := &cluster{t: t}
+	return startWith(t, size, policy.Defaults(false), teamLimit)
+}
+
+// teamLimit is the limit of the team in CPUs, where a test sets no other.
+const teamLimit = 8.0
+
+func startWith(t testing.TB, size int, operators policy.Settings, limit float64) *cluster {
+	c := &cluster{t: t, policy: operators}
 	ctx, cancel := context.WithCancel(context.Background())
 	var users, peers []net.Listener
 	nodes := map[string]string{}
@@ -88,7 +96,7 @@
 		nodes[fmt.Sprintf("drover-%d", i)] = c.addrs[i]
 	}
 	types := []wire.MachineType{{Name: "box", CPUs: 4, MemoryGB: 16, CacheGB: 40, FetchGBs: 50, Price: 1, SpotCost: 0.4, BootS: 0.2, Zones: []string{"a"}}}
-	c.site = standin.NewSite(types, map[string]float64{"crew": 8}, nodes, 200*time.Millisecond, 200*time.Millisecond, 12*time.Second)
+	c.site = standin.NewSite(types, map[string]float64{"crew": limit}, nodes, 200*time.Millisecond, 200*time.Millisecond, 12*time.Second)
 	state, cloud := httptest.NewServer(c.site.State()), httptest.NewServer(c.site.Cloud(ctx))
 	for i := range size {
 		var b strings.Builder
@@ -99,14 +107,14 @@
 			}
 		}
 		fmt.Fprintf(&b, "[outside]\nstate = %q\ncloud = %q\n", state.Listener.Addr(), cloud.Listener.Addr())
-		b.WriteString(`[deployment]
+		fmt.Fprintf(&b, `[deployment]
 size = 2
 zones = ["a"]
 clock_error_ms = 25.0
 [[deployment.teams]]
 name = "crew"
 cpus = 4.0
-cpus_max = 8.0
+cpus_max = %.1f
 [deployment.workers]
 report_s = 0.5
 lease_s = 12.0
@@ -119,7 +127,7 @@
 [deployment.cloud]
 rps = 50.0
 list_lag_s = 1.0
-`)
+`, limit)
 		c.settings = append(c.settings, b.String())
 		c.run(ctx, i, users[i], peers[i])
 	}
--- a/internal/api/operators.go
+++ b/internal/api/operators.go
@@ -1,12 +1,16 @@
 package api
 
 import (
+	"fmt"
+	"math"
 	"net/http"
+	"net/url"
 	"strconv"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/yarrowgap/yarrowgap/internal/node"
+	"github.com/yarrowgap/yarrowgap/internal/recovery"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
@@ -35,8 +39,7 @@
 		d, found, err := n.JobView(c.Request().Context(), c.Param("id"))
 		switch {
 		case err != nil:
-			c.Response().Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
-			return c.JSON(http.StatusServiceUnavailable, map[string]string{"error": "cannot be told now"})
+			return unavailable(c, "cannot be told now")
 		case !found:
 			return c.JSON(http.StatusNotFound, map[string]string{"error": "no such job"})
 		}
@@ -56,9 +59,82 @@
 		}
 		return c.JSON(http.StatusOK, list)
 	})
+	g.GET("/recovery", func(c echo.Context) error {
+		status, ok, err := n.RecoveryView()
+		switch {
+		case err != nil:
+			return unavailable(c, err.Error())
+		case !ok:
+			return notLeader(c, n)
+		}
+		return c.JSON(http.StatusOK, status)
+	})
+	g.GET("/recovery/differences", func(c echo.Context) error {
+		q, err := parseDifferencesQuery(c.QueryParams())
+		if err != nil {
+			return c.JSON(http.StatusBadRequest, map[string]string{"error": err.Error()})
+		}
+		list, ok := n.DifferencesView(q.class, q.skip, q.most)
+		if !ok {
+			return notLeader(c, n)
+		}
+		return c.JSON(http.StatusOK, list)
+	})
 	g.GET("/metrics", func(c echo.Context) error { return c.JSON(http.StatusOK, n.MetricsView()) })
 }
 
+// differencesQuery is what a client asks of the recovery's differences.
+type differencesQuery struct {
+	class      recovery.Class
+	skip, most int
+}
+
+// The page of a list when its size is not given, and at most.
+const (
+	pageDefault = 100
+	pageMost    = 500
+)
+
+// parseDifferencesQuery names the parameter that it cannot take.
+func parseDifferencesQuery(params url.Values) (q differencesQuery, err error) {
+	q.most = pageDefault
+	for name, values := range params {
+		value := values[0]
+		switch name {
+		case "class":
+			class, ok := recovery.ParseClass(value)
+			if !ok {
+				return q, fmt.Errorf("class: there is none called %q", value)
+			}
+			q.class = class
+		case "skip":
+			q.skip, err = parseCount(name, value, 0, math.MaxInt32)
+		case "most":
+			q.most, err = parseCount(name, value, 1, pageMost)
+		default:
+			err = fmt.Errorf("%s: no such parameter", name)
+		}
+		if err != nil {
+			return q, err
+		}
+	}
+	return q, nil
+}
+
+func parseCount(name, value string, least, most int) (int, error) {
+	n, err := strconv.Atoi(value)
+	if err != nil || n < least || n > most {
+		return 0, fmt.Errorf("%s: must be a number from %d to %d, is %q", name, least, most, value)
+	}
+	return n, nil
+}
+
+// unavailable says why something cannot be told now.
+func unavailable(c echo.Context, why string) error {
+	c.Response().Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
+	return c.JSON(http.StatusServiceUnavailable, map[string]string{"error": why})
+}
+
 func notLeader(c echo.Context, n *node.Node) error {
 	c.Response().Header().Set("Retry-After", strconv.Itoa(tuning.RetryAfter))
 	return c.JSON(http.StatusServiceUnavailable, map[string]string{
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -407,17 +407,10 @@
 	for _, it := range records {
 		l.addRecord(it)
 	}
+	l.stopObsolete()
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
-		// A cancellation that the last leader did not see through: without
-		// this, the job's tasks would stay, since no watch tells of it again.
-		if j := l.jobs[id]; j.cancelled {
-			for _, a := range j.attempts() {
-				l.stop(a, false, "cancelled")
-			}
-		}
 		l.finish(l.jobs[id])
 	}
-	l.stopObsolete()
 	l.line(false, "recovered", "jobs", len(l.jobs), "machines", len(l.machines), "cold", cfg.ColdRestart)
 	for _, m := range l.sorted() {
 		if l.pushDue[m.name] {
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -111,7 +111,8 @@
 }
 
 // stopObsolete stops what the records alone show to be over: attempts whose job has
-// ended or was cancelled.
+// ended, or has a cancellation that the last leader did not see through. No watch tells of
+// these again.
 func (l *Leader) stopObsolete() {
 	for _, m := range l.sorted() {
 		for _, a := range m.list() {
--- a/internal/core/recovery_test.go
+++ b/internal/core/recovery_test.go
@@ -83,10 +83,8 @@
 	d.pass(time.Second, "n-2")
 	d.answerAll(CallExecuted)
 	live := map[string]*LiveJob{restartedJob: {Record: &store.JobRecord{Job: d.l.jobs[restartedJob].spec}, Stamp: d.rev}}
-	d.fail = true
-	d.report("n-1", exited(first, wire.CauseDone))
-	d.fail = false
 	d.report("n-1", exited(first, wire.CauseDone))
+	d.pass(tuning.DoneFlush / 2)
 	if n := d.recorded(); n != 2 {
 		t.Fatalf("%d attempts are recorded before the task is durably done, not 2", n)
 	}
@@ -201,13 +199,15 @@
 // Room on machines that have yet to report is not rented, and nothing is stopped for it;
 // with the bound, or without the setting, it is.
 func TestNothingIsRentedOrStoppedForUnheardRoom(t *testing.T) {
-	for _, enabled := range []bool{false, true} {
-		d := newDeskWith(t, false, nil, nil, func(s *Settings) { coldRestart(s); s.Policy.Recovery, s.Policy.SpareShare = enabled, 0 })
-		var list []wire.ListedMachine
-		for _, name := range []string{"n-1", "n-2"} {
-			list = append(list, wire.ListedMachine{Name: name, Address: name + ":1", Type: "box", Zone: "a", State: wire.MachineRunning, AgeS: 900})
+	for i := range 4 {
+		enabled, recorded := i%2 == 0, i/2 == 0
+		var records []wire.Item
+		if recorded {
+			records = append(records, machineItem(t, "n-2", store.MachineRecord{Type: "box", Zone: "a", Address: "n-2:1"}))
 		}
-		d.l.Listed(d.clock(), list)
+		d := newDeskWith(t, false, nil, records, func(s *Settings) { coldRestart(s); s.Policy.Recovery, s.Policy.SpareShare = enabled, 0 })
+		d.answerAll(CallLost)
+		d.l.Listed(d.clock(), []wire.ListedMachine{{Name: "n-2", Address: "n-2:1", Type: "box", Zone: "a", State: wire.MachineRunning, AgeS: 900}})
 		d.up("n-1")
 		d.submit(wire.Job{ID: "run-000002", Tasks: 1, CPUs: 8, Team: "blue", Rank: wire.RankIdle})
 		d.answerAll(CallExecuted)
@@ -215,8 +215,10 @@
 		d.submit(wire.Job{ID: "run-000003", Tasks: 1, CPUs: 8})
 		d.now += time.Second
 		stops := d.stopsOf("n-1", d.report("n-1", idle...))
+		d.l.Tick(d.clock())
+		d.settle()
 		if held := len(stops) == 0 && len(d.rents) == 0; held != enabled {
-			t.Errorf("with recovery %v: stops %v, rented %d", enabled, stops, len(d.rents))
+			t.Errorf("recorded %v, with recovery %v: stops %v, rented %d", recorded, enabled, stops, len(d.rents))
 		}
 		for end := d.now + d.l.recovery.Config().CollectWait(); d.now < end; {
 			d.report("n-1", idle...)
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -19,7 +19,12 @@
 }
 
 // Counters returns the running totals.
-func (l *Leader) Counters() Counters { return l.count }
+func (l *Leader) Counters() Counters {
+	c := l.count
+	orders, traced, differences := l.recovery.Totals()
+	c.RecoveryOrders, c.RecoveryTraced, c.Differences = uint64(orders), uint64(traced), uint64(differences)
+	return c
+}
 
 // MachineView is a machine as operators see it.
 type MachineView struct {
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -99,6 +99,7 @@
 	dead          time.Duration // until then
 	frozen        time.Duration // until then: it does nothing, and then what came meanwhile
 	born          time.Duration // its process's start
+	elected       time.Duration // when it last was
 	waits         bool          // for a slow answer to its watch
 	known         time.Duration // as of when its replica has all changes
 	confirmedAsOf map[*simNode]time.Duration
@@ -481,9 +482,9 @@
 	n.drain()
 }
 
-// outlived reports whether the node's process was up long before the node led.
+// outlived reports whether a node's process was up long before this one was elected.
 func (n *simNode) outlived(p *simNode) bool {
-	return n.w.now-p.born > n.w.lease/tuning.ColdPart
+	return n.elected-p.born > n.w.lease/tuning.ColdPart
 }
 
 // asOf is as of when the node knows all cancellations: see node.asOf.
@@ -565,7 +566,7 @@
 	if status != 200 {
 		return
 	}
-	n.term = r.Epoch
+	n.term, n.elected = r.Epoch, w.now
 	boot := n.boot
 	if w.chance(0.1) {
 		n.crash(time.Duration(w.rng.IntN(500)) * time.Millisecond) // in the middle of an election
--- a/internal/guards/guards_test.go
+++ b/internal/guards/guards_test.go
@@ -85,7 +85,7 @@
 // guards lists all of them.
 func guards() []guard {
 	var all []guard
-	for _, part := range [][]guard{nodeGuards, leaderGuards, reportGuards, answersGuards, roomGuards, loadGuards, standinGuards} {
+	for _, part := range [][]guard{nodeGuards, leaderGuards, reportGuards, answersGuards, roomGuards, loadGuards, standinGuards, recoveryGuards} {
 		all = append(all, part...)
 	}
 	return all
--- a/internal/guards/leader_test.go
+++ b/internal/guards/leader_test.go
@@ -39,9 +39,9 @@
 	},
 	{
 		meeting: "jobs are cancelled while one leader's work changes hands",
-		file:    "internal/core/leader.go",
-		cut:     "if j := l.jobs[id]; j.cancelled {",
-		put:     "if j := l.jobs[id]; false && j.cancelled {",
+		file:    "internal/core/recovery.go",
+		cut:     "e.JobLive = !j.cancelled && !j.archived",
+		put:     "e.JobLive = !j.archived",
 		test:    "internal/core:^TestLeadershipMeetings$/^handover$",
 	},
 	{
@@ -109,9 +109,9 @@
 	},
 	{
 		meeting: "a leader is cut from the state service and its peers, and its successor is told of cancellations while it recovers",
-		file:    "internal/core/leader.go",
-		cut:     "if j := l.jobs[id]; j.cancelled {",
-		put:     "if j := l.jobs[id]; false && j.cancelled {",
+		file:    "internal/core/recovery.go",
+		cut:     "e.JobLive = !j.cancelled && !j.archived",
+		put:     "e.JobLive = !j.archived",
 		test:    "internal/core:^TestLeadershipMeetings$/^leader_cut$",
 	},
 	{
--- a/internal/guards/room_test.go
+++ b/internal/guards/room_test.go
@@ -102,9 +102,9 @@
 	},
 	{
 		meeting: "the leader changes while a cancellation is not seen through",
-		file:    "internal/core/leader.go",
-		cut:     "if j := l.jobs[id]; j.cancelled {",
-		put:     "if j := l.jobs[id]; j.cancelled && false {",
+		file:    "internal/core/recovery.go",
+		cut:     "e.JobLive = !j.cancelled && !j.archived",
+		put:     "e.JobLive = !j.archived",
 		test:    "internal/core:^TestLimitsAcrossLeaders$",
 	},
 	{
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -120,7 +120,7 @@
 	defer cancel()
 	lost := make(chan struct{})
 	n.mu.Lock()
-	n.permit, n.heldTo = permit, asked.Add(n.leaseTTL())
+	n.permit, n.heldTo, n.electedAt = permit, asked.Add(n.leaseTTL()), asked
 	n.setLead(n.cfg.Node, term)
 	n.mu.Unlock()
 
@@ -198,6 +198,8 @@
 
 // recover reads all records and installs the leader, or returns nil.
 func (n *Node) recover(ctx context.Context, term uint64, lost chan struct{}) *core.Leader {
+	n.do(func() { n.loadingSince = time.Now() })
+	defer n.do(func() { n.loadingSince = time.Time{} })
 	for {
 		select {
 		case <-lost:
@@ -254,6 +256,7 @@
 				}
 			}
 			leader.ZoneHeard(n.cfg.Zone, n.now().Mono)
+			n.tracer.Loaded(term, n.loadingSince, time.Now(), len(jobs), len(records)+len(earlier))
 			n.leader, n.lost = leader, lost
 		})
 		return leader
@@ -272,6 +275,7 @@
 		Teams:  map[string]core.Team{},
 		Report: config.Seconds(d.Workers.ReportS), Lease: config.Seconds(d.Workers.LeaseS), Cancel: config.Seconds(d.Workers.CancelS),
 		TxnOps: d.State.TxnOps, ValueBytes: int(d.State.ValueKB * 1024), WriteRate: d.State.WriteRPS,
+		ColdRestart: n.coldRestart(), TraceOrders: n.tracer.Enabled(),
 		Aims: map[string]core.Aim{}, Thrifty: n.cfg.Thrifty(), GuaranteeWithin: n.cfg.GuaranteeWithin(),
 		CloudRate: d.Cloud.RPS, CPUShare: d.Quota.CPUShare, ListLag: config.Seconds(d.Cloud.ListLagS), Policy: n.policy,
 	}
@@ -291,6 +295,28 @@
 	return s
 }
 
+// outlived reports whether a process that began then was up long before this node was
+// elected, so that workers could be answered until the change of leader. What it was up
+// since says nothing. Called with the lock held.
+func (n *Node) outlived(born time.Time) bool {
+	lease := config.Seconds(n.cfg.Deployment.Workers.LeaseS)
+	return !born.IsZero() && n.electedAt.Sub(born) > lease/tuning.ColdPart
+}
+
+// coldRestart reports whether no controller that this node has heard outlived the leader
+// before. Called with the lock held.
+func (n *Node) coldRestart() bool {
+	if n.outlived(n.start) {
+		return false
+	}
+	for _, p := range n.peers {
+		if n.outlived(p.born) {
+			return false
+		}
+	}
+	return true
+}
+
 // watchJobs keeps the leader's picture of the jobs fresh.
 func (n *Node) watchJobs(ctx context.Context, l *core.Leader) {
 	for ctx.Err() == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/yarrowgap/yarrowgap/internal/policy"
 	"github.com/yarrowgap/yarrowgap/internal/rpc"
 	"github.com/yarrowgap/yarrowgap/internal/store"
+	"github.com/yarrowgap/yarrowgap/internal/tracing"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/internal/worker"
 	"github.com/yarrowgap/yarrowgap/wire"
@@ -38,6 +39,7 @@
 	boot   uint64 // tells this process from its predecessors
 	start  time.Time
 
+	tracer  *tracing.Tracer // nil: nothing is traced
 	state   *store.Client
 	cloud   *cloud.Client
 	workers *worker.Client
@@ -51,16 +53,19 @@
 	heldTo    time.Time    // until then that lease lasts, if it is not renewed
 	lost      chan struct{}
 	lead      leadInfo
-	barred    time.Time // no candidate until then
-	peers     map[string]*peer
-	without   func() time.Duration // for how long the state service has not served us
-	led       time.Time            // as of when all cancellations were seen through, by the leader of the term known
-	knownAt   time.Time            // as of when the replica has all changes
-	confirmed confirmations
-	settling  bool
-	totals    core.Counters // of earlier terms
-	ack       *hdrhistogram.Histogram
-	answers   *hdrhistogram.Histogram
+	electedAt time.Time // when this node last asked for the lead that it got
+	// loadingSince is since when this node, elected, reads the records; zero: it does not.
+	loadingSince time.Time
+	barred       time.Time // no candidate until then
+	peers        map[string]*peer
+	without      func() time.Duration // for how long the state service has not served us
+	led          time.Time            // as of when all cancellations were seen through, by the leader of the term known
+	knownAt      time.Time            // as of when the replica has all changes
+	confirmed    confirmations
+	settling     bool
+	totals       core.Counters // of earlier terms
+	ack          *hdrhistogram.Histogram
+	answers      *hdrhistogram.Histogram
 
 	syncMu sync.Mutex
 	next   *syncCall
@@ -90,6 +95,7 @@
 	begun         time.Time // the list has all that it told since then
 	confirmedAsOf time.Time // as of when we have the list, see asOf
 	served        bool      // by the state service, when it was last heard
+	born          time.Time // its process's start; zero: not known
 	idle          bool      // it does not lead although it should: its process has started anew
 	refused       time.Time // last time that it refused a connection
 	unable        time.Time // last time that it could not decide a request passed on
@@ -124,6 +130,9 @@
 // read. It is called before Run.
 func (n *Node) WatchBacklog(backlog func() time.Duration) { n.backlog = backlog }
 
+// Trace has the node make spans. It is called before Run.
+func (n *Node) Trace(tracer *tracing.Tracer) { n.tracer = tracer }
+
 // Run works until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -163,7 +172,7 @@
 	if l == nil {
 		return
 	}
-	l.Settle(n.now())
+	n.round(l)
 	n.carryOut(l, l.Take())
 	if n.leader == l && l.Unsettled() && !n.settling {
 		n.settling = true
@@ -171,6 +180,19 @@
 	}
 }
 
+// round has the leader settle, which may be a round of placement.
+func (n *Node) round(l *core.Leader) {
+	if !n.tracer.Enabled() {
+		l.Settle(n.now())
+		return
+	}
+	before, begun := l.Rounds(), time.Now()
+	l.Settle(n.now())
+	if l.Rounds() != before {
+		n.tracer.Round(begun, time.Now())
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -256,6 +278,7 @@
 		}
 		n.log.Log(context.Background(), level, line.Msg, line.Args...)
 	}
+	n.tracer.Recovery(n.start, e.Recovery)
 	for _, c := range e.Commits {
 		go n.commit(l, c)
 	}
@@ -393,6 +416,7 @@
 	c := n.leader.Counters()
 	addCounters(&n.totals, c)
 	n.leader = nil
+	n.tracer.TermEnded(time.Now())
 	close(n.lost)
 }
 
@@ -542,6 +566,10 @@
 						p.heard, p.served = begun, pong.Served
 					}
 					p.idle = pong.Leader == p.Name && !pong.Leading
+					p.born = begun.Add(-time.Duration(pong.UpMilli) * time.Millisecond)
+					if n.leader != nil && n.outlived(p.born) {
+						n.leader.PeerOutlived()
+					}
 					n.leaderKnows()
 					p.takeConfirmations(pong, begun, time.Now())
 					if n.leader != nil && len(pong.Confirmed) > 0 {
--- a/internal/node/views.go
+++ b/internal/node/views.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/yarrowgap/yarrowgap/internal/core"
+	"github.com/yarrowgap/yarrowgap/internal/recovery"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
@@ -68,6 +70,32 @@
 	return ask(n, func(l *core.Leader, now core.Now) []core.Failure { return l.Failures(skip, most) })
 }
 
+// ErrNoRecovery says that there has been no recovery to show, as far as the node knows.
+var ErrNoRecovery = errors.New("there has been no recovery yet: nobody has led since this node began")
+
+// RecoveryView describes the recovery of the present term. ok is false where this node
+// does not lead; the error says that nobody has led yet.
+func (n *Node) RecoveryView() (status recovery.Status, ok bool, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case n.leader != nil:
+		return n.leader.RecoveryStatus(n.now()), true, nil
+	case n.loadingSince.IsZero() && n.lead.term == 0:
+		return status, false, ErrNoRecovery
+	case n.loadingSince.IsZero():
+		return status, false, nil
+	}
+	return recovery.Status{Phase: recovery.Loading.String(), Enabled: n.policy.Recovery, AgeS: time.Since(n.loadingSince).Seconds()}, true, nil
+}
+
+// DifferencesView lists what the recovery of the present term found.
+func (n *Node) DifferencesView(class recovery.Class, skip, most int) ([]recovery.DifferenceView, bool) {
+	return ask(n, func(l *core.Leader, _ core.Now) []recovery.DifferenceView {
+		return l.RecoveryDifferences(class, skip, most)
+	})
+}
+
 // Latency sums up a histogram, in milliseconds.
 type Latency struct {
 	Count int64 `json:"count"`
@@ -90,6 +118,9 @@
 	Preempted      uint64  `json:"tasks_preempted_total"`
 	Rented         uint64  `json:"machines_rented_total"`
 	Returned       uint64  `json:"machines_returned_total"`
+	RecoveryOrders uint64  `json:"recovery_orders_total"`
+	RecoveryTraced uint64  `json:"recovery_orders_total_traced"`
+	Differences    uint64  `json:"recovery_differences_total"`
 	StartToAck     Latency `json:"start_to_ack"`
 	SubmitToAnswer Latency `json:"submit_to_answer"`
 }
@@ -103,5 +134,5 @@
 		addCounters(&c, n.leader.Counters())
 	}
 	return Metrics{c.ProbeRetry, c.ProbeGiveUp, c.Retried, c.Started, c.Finished, c.Preempted, c.Rented, c.Returned,
-		latency(n.ack), latency(n.answers)}
+		c.RecoveryOrders, c.RecoveryTraced, c.Differences, latency(n.ack), latency(n.answers)}
 }
--- a/internal/recovery/ledger.go
+++ b/internal/recovery/ledger.go
@@ -62,6 +62,7 @@
 // Kinds of events.
 const (
 	PhaseEntered EventKind = iota
+	MachineHeard
 	OrderGiven
 )
 
@@ -70,7 +71,7 @@
 	Kind   EventKind
 	At     time.Duration
 	Phase  Phase // of PhaseEntered
-	Order  Order // of OrderGiven
+	Order  Order // of OrderGiven; of MachineHeard the machine
 	Traced bool  // a difference asked for the order
 }
 
@@ -146,6 +147,16 @@
 	}
 }
 
+// Totals counts the orders until the recovery was settled, those of them that a
+// difference asked for, and all differences.
+func (r *Reconciler) Totals() (orders, traced, differences int) {
+	for _, c := range r.ledger.counts {
+		orders += c.Total
+		traced += c.Traced
+	}
+	return orders, traced, len(r.differences) + r.unkept
+}
+
 // TakeEvents returns the events since the last call.
 func (r *Reconciler) TakeEvents() []Event {
 	events := r.events
--- a/internal/recovery/reconciler.go
+++ b/internal/recovery/reconciler.go
@@ -44,7 +44,7 @@
 	// Wait bounds the collecting phase; 0: it follows from Report and Lease.
 	Wait      time.Duration
 	CloudRate float64 // requests a second that the cloud takes; 0: not known
-	Trace     bool    // have an event for each order, for TakeEvents
+	Trace     bool    // have an event for each machine that is heard and each order
 }
 
 // CollectWait is how long after the records are read machines may take to report: a
@@ -141,6 +141,9 @@
 	if m := r.machines[machine]; m != nil && !m.heard {
 		m.heard = true
 		r.unheard--
+		if r.config.Trace {
+			r.events = append(r.events, Event{Kind: MachineHeard, At: now, Order: Order{Machine: machine}})
+		}
 		r.Advance(now)
 	}
 }
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -38,6 +38,10 @@
 	fate      func(wire.Txn) Fate
 	held      []wire.Txn
 	slow      func() time.Duration
+	rentedAt  map[string]time.Duration
+	silentTo  map[string]time.Duration // machines that send and take nothing before then
+	orders    OrderCounts
+	counted   map[string]bool // orders, so that repeats count once
 }
 
 // Fate is what becomes of a transaction. The zero value is carried out and answered.
@@ -88,7 +92,8 @@
 // NewSite makes a site. nodes are the controllers, by name.
 func NewSite(types []wire.MachineType, limits map[string]float64, nodes map[string]string, boot, report, lease time.Duration) *Site {
 	return &Site{start: time.Now(), state: NewState(12, 10000), rules: NewRules(limits, time.Minute), types: types,
-		boot: boot, report: report, lease: lease, nodes: nodes, workers: map[string]*Worker{}, hires: map[string][]string{}, runFor: map[string]time.Duration{}}
+		boot: boot, report: report, lease: lease, nodes: nodes, workers: map[string]*Worker{}, hires: map[string][]string{}, runFor: map[string]time.Duration{},
+		rentedAt: map[string]time.Duration{}, silentTo: map[string]time.Duration{}, counted: map[string]bool{}}
 }
 
 func (s *Site) now() time.Duration { return time.Since(s.start) }
@@ -299,6 +304,7 @@
 				}
 			}
 			s.hires[q.Name] = names
+			s.orders.Rented += len(names)
 		}
 		if len(names) == 0 {
 			reply(w, 503, wire.Error{Error: "no capacity"})
@@ -316,6 +322,7 @@
 		defer s.mu.Unlock()
 		for _, n := range q.Machines {
 			if wk := s.workers[n]; wk != nil {
+				s.countOnce(&s.orders.Releases, n)
 				wk.Kill()
 			}
 		}
@@ -327,7 +334,7 @@
 		out := wire.MachineList{Machines: []wire.ListedMachine{}}
 		for n, wk := range s.workers {
 			if !wk.Gone && n > r.URL.Query().Get("from") {
-				out.Machines = append(out.Machines, wire.ListedMachine{Name: n, Address: wk.Addr, Type: wk.Type, Zone: wk.Zone, Spot: wk.Spot, State: wire.MachineRunning})
+				out.Machines = append(out.Machines, wire.ListedMachine{Name: n, Address: wk.Addr, Type: wk.Type, Zone: wk.Zone, Spot: wk.Spot, State: wire.MachineRunning, AgeS: (s.now() - s.rentedAt[n]).Seconds()})
 			}
 		}
 		sort.Slice(out.Machines, func(a, b int) bool { return out.Machines[a].Name < out.Machines[b].Name })
@@ -353,7 +360,7 @@
 		id, _, _ := wire.SplitTask(task)
 		return s.runFor[id]
 	}, func(string) bool { return false })
-	s.workers[name] = wk
+	s.workers[name], s.rentedAt[name] = wk, s.now()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err) // no loopback
@@ -373,8 +380,17 @@
 			return
 		}
 		s.mu.Lock()
-		status, rep := wk.Commands(s.now(), d)
+		silent := s.silentTo[wk.Name] > s.now() || wk.Gone
+		var status int
+		var rep wire.Report
+		if !silent {
+			s.countCommands(wk.Name, d.Commands)
+			status, rep = wk.Commands(s.now(), d)
+		}
 		s.mu.Unlock()
+		if silent {
+			panic(http.ErrAbortHandler) // no answer
+		}
 		reply(w, status, rep)
 	})
 	srv := &http.Server{Handler: m}
@@ -393,12 +409,16 @@
 	for {
 		s.mu.Lock()
 		wk.Advance(s.now())
-		gone := wk.Gone
+		gone, silent := wk.Gone, s.silentTo[wk.Name]-s.now()
 		rep, sent, session := wk.Report(s.now()), s.now(), wk.Session
 		s.mu.Unlock()
 		if gone || ctx.Err() != nil {
 			return
 		}
+		if silent > 0 {
+			wait(ctx, silent)
+			continue
+		}
 		raw, _ := wire.Marshal(rep)
 		status := 0
 		var got []byte
@@ -414,6 +434,7 @@
 			var a wire.CheckinReply
 			if wire.Unmarshal(got, &a) == nil {
 				s.mu.Lock()
+				s.countCommands(wk.Name, a.Commands)
 				wk.Reply(s.now(), sent, session, a)
 				s.mu.Unlock()
 			}
--- /dev/null
+++ b/internal/tracing/tracing.go
@@ -0,0 +1,184 @@
+// Package tracing exports spans of a leader's recovery and of its rounds of placement, by
+// OpenTelemetry's SDK, to a file or to standard output. A nil Tracer traces nothing and
+// costs nothing.
+package tracing
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/yarrowgap/yarrowgap/internal/recovery"
+)
+
+// Stdout is the target that stands for standard output.
+const Stdout = "-"
+
+// Keys of attributes. They are part of what operators rely on.
+const (
+	keyService = attribute.Key("service.name")
+	keyNode    = attribute.Key("yarrowgap.node")
+	keyTerm    = attribute.Key("yarrowgap.term")
+	keyMachine = attribute.Key("yarrowgap.machine")
+	keyTask    = attribute.Key("yarrowgap.task")
+	keyAttempt = attribute.Key("yarrowgap.attempt")
+	keyKind    = attribute.Key("yarrowgap.order.kind")
+	keyTraced  = attribute.Key("yarrowgap.order.traced")
+	keyOutcome = attribute.Key("yarrowgap.recovery.outcome")
+	keyJobs    = attribute.Key("yarrowgap.records.jobs")
+	keyRecords = attribute.Key("yarrowgap.records.batches")
+)
+
+// Outcomes of a recovery.
+const (
+	outcomeSettled = "settled"
+	outcomeEnded   = "term ended"
+)
+
+// queueSize is how many spans may wait for their export: the orders of a large recovery.
+// Further ones are dropped rather than waited for.
+const queueSize = 16384
+
+// Tracer makes spans. Its methods are not safe for concurrent use, but for Close.
+type Tracer struct {
+	provider *sdktrace.TracerProvider
+	tracer   trace.Tracer
+	file     io.Closer
+
+	context context.Context // that of the recovery's span; nil: there is none
+	phase   trace.Span      // the phase that goes on
+	term    uint64
+}
+
+// Open makes a tracer that writes to the target: a file, which is appended to, or Stdout.
+// Without a target there is none.
+func Open(target, node string) (*Tracer, error) {
+	if target == "" {
+		return nil, nil
+	}
+	if target == Stdout {
+		return newTracer(os.Stdout, nil, node)
+	}
+	file, err := os.OpenFile(target, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("trace_file: %w", err)
+	}
+	return newTracer(file, file, node)
+}
+
+func newTracer(w io.Writer, file io.Closer, node string) (*Tracer, error) {
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(w))
+	if err != nil {
+		return nil, err
+	}
+	about := resource.NewSchemaless(keyService.String("yarrowgap"), keyNode.String(node))
+	provider := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exporter, sdktrace.WithMaxQueueSize(queueSize)), sdktrace.WithResource(about))
+	return &Tracer{provider: provider, tracer: provider.Tracer("yarrowgap"), file: file}, nil
+}
+
+// Enabled reports whether anything is traced.
+func (t *Tracer) Enabled() bool { return t != nil }
+
+// Close exports what waits, and closes the file.
+func (t *Tracer) Close(ctx context.Context) error {
+	if t == nil {
+		return nil
+	}
+	err := t.provider.Shutdown(ctx)
+	if t.file != nil {
+		if closeErr := t.file.Close(); err == nil {
+			err = closeErr
+		}
+	}
+	return err
+}
+
+// Loaded begins a recovery's span with the reading of its records.
+func (t *Tracer) Loaded(term uint64, begun, ended time.Time, jobs, records int) {
+	if t == nil {
+		return
+	}
+	t.TermEnded(ended)
+	t.term = term
+	t.context, _ = t.tracer.Start(context.Background(), "recovery", trace.WithTimestamp(begun), trace.WithAttributes(keyTerm.Int64(int64(term))))
+	_, loading := t.start("recovery."+recovery.Loading.String(), begun, keyJobs.Int(jobs), keyRecords.Int(records))
+	loading.End(trace.WithTimestamp(ended))
+	_, t.phase = t.start("recovery."+recovery.Collecting.String(), ended)
+}
+
+// start begins a span in the recovery's.
+func (t *Tracer) start(name string, at time.Time, attributes ...attribute.KeyValue) (context.Context, trace.Span) {
+	return t.tracer.Start(t.context, name, trace.WithTimestamp(at), trace.WithAttributes(attributes...))
+}
+
+// Recovery takes events of the recovery. start is when the times of events count from.
+func (t *Tracer) Recovery(start time.Time, events []recovery.Event) {
+	if t == nil || t.context == nil {
+		return
+	}
+	for _, e := range events {
+		at := start.Add(e.At)
+		switch e.Kind {
+		case recovery.PhaseEntered:
+			t.enter(e.Phase, at)
+		case recovery.MachineHeard:
+			t.instant("recovery.heard", at, keyMachine.String(e.Order.Machine))
+		case recovery.OrderGiven:
+			t.instant("recovery.order", at, keyKind.String(e.Order.Kind.String()), keyMachine.String(e.Order.Machine),
+				keyTask.String(e.Order.Task), keyAttempt.Int64(int64(e.Order.Number)), keyTraced.Bool(e.Traced))
+		}
+	}
+}
+
+func (t *Tracer) instant(name string, at time.Time, attributes ...attribute.KeyValue) {
+	if t.context == nil {
+		return // after the recovery was settled
+	}
+	_, span := t.start(name, at, attributes...)
+	span.End(trace.WithTimestamp(at))
+}
+
+func (t *Tracer) enter(phase recovery.Phase, at time.Time) {
+	if t.context == nil {
+		return
+	}
+	t.phase.End(trace.WithTimestamp(at))
+	if phase == recovery.Settled {
+		t.finish(at, outcomeSettled)
+		return
+	}
+	_, t.phase = t.start("recovery."+phase.String(), at)
+}
+
+func (t *Tracer) finish(at time.Time, outcome string) {
+	span := trace.SpanFromContext(t.context)
+	span.SetAttributes(keyOutcome.String(outcome))
+	span.End(trace.WithTimestamp(at))
+	t.context = nil
+}
+
+// TermEnded ends the span of a recovery that was not settled.
+func (t *Tracer) TermEnded(at time.Time) {
+	if t == nil || t.context == nil {
+		return
+	}
+	t.phase.End(trace.WithTimestamp(at))
+	t.finish(at, outcomeEnded)
+}
+
+// Round makes a span of a round of placement.
+func (t *Tracer) Round(begun, ended time.Time) {
+	if t == nil {
+		return
+	}
+	_, span := t.tracer.Start(context.Background(), "leader.round", trace.WithTimestamp(begun), trace.WithAttributes(keyTerm.Int64(int64(t.term))))
+	span.End(trace.WithTimestamp(ended))
+}
--- /dev/null
+++ b/internal/tracing/tracing_test.go
@@ -0,0 +1,121 @@
+package tracing
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/recovery"
+)
+
+// span is what the export has of a span.
+type span struct {
+	Name        string
+	SpanContext struct{ TraceID, SpanID string }
+	Parent      struct{ SpanID string }
+	Attributes  []struct {
+		Key   string
+		Value struct{ Value any }
+	}
+}
+
+// A recovery is one trace: its phases, the machines that were heard and the orders are in
+// its span; rounds have spans of their own, and nothing comes after the end of the term.
+func TestRecoveryIsOneTrace(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans.json")
+	tracer, err := Open(path, "node-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := time.Unix(1000, 0)
+	events := []recovery.Event{
+		{Kind: recovery.MachineHeard, At: time.Second, Order: recovery.Order{Machine: "n-1"}},
+		{Kind: recovery.OrderGiven, At: time.Second, Order: recovery.Order{Kind: recovery.OrderStop, Machine: "n-1", Task: "run-000001/0", Number: 7}, Traced: true},
+		{Kind: recovery.PhaseEntered, At: 2 * time.Second, Phase: recovery.Reconciling},
+		{Kind: recovery.PhaseEntered, At: 3 * time.Second, Phase: recovery.Settled},
+		{Kind: recovery.OrderGiven, At: 4 * time.Second},
+	}
+	tracer.Loaded(9, start, start.Add(time.Second), 3, 2)
+	tracer.Recovery(start, events)
+	tracer.Round(start, start.Add(time.Millisecond))
+	tracer.Loaded(10, start, start.Add(time.Second), 3, 2)
+	tracer.TermEnded(start.Add(2 * time.Second))
+	tracer.Recovery(start, events)
+	if err := tracer.Close(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	roots, names := map[string]span{}, []string{}
+	var spans []span
+	for decoder := json.NewDecoder(bytes.NewReader(raw)); ; {
+		var s span
+		if err := decoder.Decode(&s); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			t.Fatal(err)
+		}
+		spans, names = append(spans, s), append(names, s.Name)
+		if s.Name == "recovery" {
+			roots[s.SpanContext.SpanID] = s
+		}
+	}
+	slices.Sort(names)
+	want := []string{"leader.round", "recovery", "recovery", "recovery.collecting", "recovery.collecting", "recovery.heard",
+		"recovery.loading", "recovery.loading", "recovery.order", "recovery.reconciling"}
+	if !slices.Equal(names, want) {
+		t.Errorf("spans: %v", names)
+	}
+	for _, s := range spans {
+		root, child := roots[s.Parent.SpanID]
+		if isRoot := s.Name == "recovery" || s.Name == "leader.round"; child == isRoot || child && root.SpanContext.TraceID != s.SpanContext.TraceID {
+			t.Errorf("%s: child of a recovery: %v", s.Name, child)
+		}
+		if s.Name != "recovery.order" {
+			continue
+		}
+		got := map[string]any{}
+		for _, a := range s.Attributes {
+			got[a.Key] = a.Value.Value
+		}
+		if got["yarrowgap.machine"] != "n-1" || got["yarrowgap.task"] != "run-000001/0" || got["yarrowgap.order.kind"] != "stop" || got["yarrowgap.order.traced"] != true {
+			t.Errorf("attributes: %v", got)
+		}
+	}
+}
+
+// Without a target nothing is allocated, neither for spans nor for events of orders.
+func TestNoCostWhenOff(t *testing.T) {
+	tracer, err := Open("", "node-1")
+	if err != nil || tracer.Enabled() {
+		t.Fatalf("%v, %v", tracer, err)
+	}
+	now := time.Unix(1000, 0)
+	r := recovery.New(0, recovery.Config{Report: time.Second, Lease: time.Minute})
+	r.ExpectAttempt("n-1")
+	events := []recovery.Event{{Kind: recovery.OrderGiven}}
+	if n := testing.AllocsPerRun(100, func() {
+		tracer.Loaded(1, now, now, 1, 1)
+		tracer.Recovery(now, events)
+		tracer.Round(now, now)
+		tracer.TermEnded(now)
+		r.Ordered(time.Second, recovery.Order{Kind: recovery.OrderStart, Machine: "n-1", Task: "run-000001/0"})
+		_ = r.TakeEvents()
+	}); n != 0 {
+		t.Errorf("%v allocations", n)
+	}
+	if err := tracer.Close(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if _, err := Open(filepath.Join(t.TempDir(), "missing", "spans.json"), "node-1"); err == nil {
+		t.Error("a file that cannot be made is taken")
+	}
+}
