Bounds at thousands of machines: a term's numbers, peers' answers; settings of the recovery tested

Need: attempts are numbered by 20 bits below the term. 4,000 machines with tasks of half a minute use them up within hours, and the next number would be of another term; likewise a machine's token. A leader that has counted far resigns now, and never numbers past the end. A peer's answer could be no larger than 1 MB, some 70,000 jobs with running tasks; 8 MB now. The stand-in cloud lists machines in pages.

--- a/cmd/restartbench/report.go
+++ b/cmd/restartbench/report.go
@@ -84,6 +84,13 @@
 	return tw.Flush()
 }
 
+// Sizes of a plot.
+const (
+	plotWidth  = 16 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+	titleSize  = vg.Length(10) // points
+)
+
 // figure is a plot of the page.
 type figure struct {
 	Title string
@@ -95,6 +102,8 @@
 	p := plot.New()
 	title := fmt.Sprintf("%s, %d machines (simulated)", m.name, machines)
 	p.Title.Text = title
+	p.Title.TextStyle.Font.Size = titleSize
+	p.Legend.Top, p.Legend.Left = true, true
 	p.X.Label.Text = "machines changed, %"
 	p.Y.Label.Text = m.name
 	lines := map[string]plotter.XYs{}
@@ -112,7 +121,7 @@
 	if err := plotutil.AddLinePoints(p, "off", lines["off"], "off, most", lines["off, most"], "on", lines["on"], "on, most", lines["on, most"]); err != nil {
 		return figure{}, err
 	}
-	writer, err := p.WriterTo(12*vg.Centimeter, 8*vg.Centimeter, "svg")
+	writer, err := p.WriterTo(plotWidth, plotHeight, "svg")
 	if err != nil {
 		return figure{}, err
 	}
@@ -121,7 +130,7 @@
 		return figure{}, err
 	}
 	data := "data:image/svg+xml;base64," + base64.StdEncoding.EncodeToString(image.Bytes())
-	return figure{title, template.URL(data)}, nil //nolint:gosec // our own plot
+	return figure{title, template.URL(data)}, nil
 }
 
 var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
--- a/cmd/yarrowgap/main_test.go
+++ b/cmd/yarrowgap/main_test.go
@@ -28,6 +28,8 @@
 		{[]string{"--help"}, 0, "serve --config=FILE", ""},
 		{[]string{"check", "--config", good}, 0, "ok: node drover-0", ""},
 		{[]string{"check", "--config", good, "--script", "../../examples/operators.star"}, 0, "ok", ""},
+		{[]string{"check", "--config", good, "--script", "../../deploy/recovery.star"}, 0, "ok", ""},
+		{[]string{"recovery", "--addr", "127.0.0.1:1"}, 1, "", "refused"},
 		{[]string{"check", "--config", bad}, 2, "", "mesh_addr: missing"},
 		{[]string{"serve", "--config", bad}, 2, "", "mesh_addr: missing"},
 		{[]string{"check", "--config", good, "--script", script}, 2, "", "bad.star:2"},
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -40,6 +40,7 @@
 	if look {
 		l.lookedAt = now.Mono
 		l.watchMachines()
+		l.watchCounters()
 	}
 	l.watchSilence()
 	if look {
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -783,7 +783,7 @@
 // raise takes a higher token for a machine, so that commands sent to it under
 // the present one are refused once it has seen the new one.
 func (l *Leader) raise(m *machine) {
-	m.fence++
+	m.fence = min(m.fence+1, counterMost) // watchCounters has ended the term long before
 	m.directUsed = false
 }
 
--- a/internal/core/place.go
+++ b/internal/core/place.go
@@ -223,7 +223,7 @@
 	p := l.newPicker(r, j)
 	for placed := 0; placed < n; placed++ {
 		m := p.next()
-		if m == nil || l.holdForWarm(r, j, m, p) {
+		if m == nil || l.numbersLeft() == 0 || l.holdForWarm(r, j, m, p) {
 			return placed
 		}
 		i, ok := j.nextFree()
@@ -406,6 +406,9 @@
 
 // placeGangIn places them in one zone; empty: in any.
 func (l *Leader) placeGangIn(r *round, j *job, n int, zone string) bool {
+	if l.numbersLeft() < n {
+		return false
+	}
 	var placed []*attempt
 	p := l.newPicker(r, j)
 	if zone != "" {
@@ -848,6 +851,25 @@
 	return a
 }
 
+// counterMost is the highest value of what a leader counts in the low bits of tokens and
+// of attempts' numbers. One above it would be of another term.
+const counterMost = 1<<tuning.FenceBits - 1
+
+// numbersLeft is how many more attempts this term can number.
+func (l *Leader) numbersLeft() int { return counterMost - int(min(l.nextTry, counterMost)) }
+
+// watchCounters resigns before this term's numbers are used up. The next term has all of
+// them again, and an election costs a fraction of a second.
+func (l *Leader) watchCounters() {
+	highest := l.nextTry
+	for _, m := range l.machines {
+		highest = max(highest, m.fence)
+	}
+	if float64(highest) > counterMost*tuning.CountersUsed {
+		l.out.Resign = "this term's numbers are used up"
+	}
+}
+
 // newAttempt makes an attempt under a number that was never used: terms only
 // grow, so it is above all earlier ones.
 func (l *Leader) newAttempt(j *job, index int, m *machine) *attempt {
--- a/internal/guards/recovery_test.go
+++ b/internal/guards/recovery_test.go
@@ -100,6 +100,27 @@
 		put:     "e.Allowed = true",
 		test:    "internal/core:^TestUnrecordedTask$",
 	},
+	{
+		meeting: "thousands of machines use up a term's numbers",
+		file:    "internal/core/fleet.go",
+		cut:     "\t\tl.watchCounters()\n",
+		put:     "",
+		test:    "internal/core:^TestCountersStayWithinTheTerm$",
+	},
+	{
+		meeting: "the same, within one round",
+		file:    "internal/core/place.go",
+		cut:     "|| l.numbersLeft() == 0 ",
+		put:     "",
+		test:    "internal/core:^TestCountersStayWithinTheTerm$",
+	},
+	{
+		meeting: "a machine's token reaches the next term's",
+		file:    "internal/core/leader.go",
+		cut:     "m.fence = min(m.fence+1, counterMost)",
+		put:     "m.fence++",
+		test:    "internal/core:^TestCountersStayWithinTheTerm$",
+	},
 	{
 		meeting: "a report comes again: each attempt is found once",
 		file:    "internal/recovery/reconciler.go",
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -75,7 +75,7 @@
 type Client struct{ rpc *rpc.Client }
 
 // New makes a client.
-func New() *Client { return &Client{rpc.New(8, 64, tuning.PeerTimeout, 1<<20)} }
+func New() *Client { return &Client{rpc.New(8, 64, tuning.PeerTimeout, tuning.PeerAnswer)} }
 
 // Ping pings the peer at addr.
 func (c *Client) Ping(ctx context.Context, addr string, p Ping) (Pong, error) {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -21,6 +21,19 @@
 	}
 }
 
+// The file that switches the recovery on says what it is meant to, and without a script
+// it is off.
+func TestRecoverySettings(t *testing.T) {
+	s, err := policy.Load("../../deploy/recovery.star", policy.Defaults(false))
+	if err != nil || !s.Recovery || s.RecoveryWait != 0 || s.TraceFile != "" {
+		t.Errorf("read as %+v, %v", s, err)
+	}
+	s, err = policy.Eval("m.star", "recovery_wait_s = 7.5\ntrace_file = \"-\"", policy.Defaults(false))
+	if err != nil || s.Recovery || s.RecoveryWait != 7500*time.Millisecond || s.TraceFile != "-" {
+		t.Errorf("read as %+v, %v", s, err)
+	}
+}
+
 func TestDefaultsStayWithoutAScript(t *testing.T) {
 	want := policy.Defaults(false)
 	got, err := policy.Eval("empty.star", "", want)
@@ -42,6 +55,11 @@
 		{"load('x.star', 'y')", "load"},
 		{"def f():\n  for i in range(100000000):\n    pass\nf()", "too many steps"},
 		{"error_backoff_s = 100\nerror_backoff_max_s = 5", "below error_backoff_s"},
+		{"recovery_wait_s = -1", "recovery_wait_s: must be from 0 to 600, is -1"},
+		{"recovery_wait_s = 1e9", "must be from"},
+		{"recovery = 1", "True or False"},
+		{"\nrecovery_bound_s = 3", "m.star:2"},
+		{"trace_file = 3", "wants a string"},
 		{"x = open('/etc/passwd')", "undefined: open"},
 	} {
 		_, err := policy.Eval("m.star", tc.src, policy.Defaults(false))
--- a/internal/standin/http.go
+++ b/internal/standin/http.go
@@ -332,12 +332,16 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		out := wire.MachineList{Machines: []wire.ListedMachine{}}
+		from := r.URL.Query().Get("from")
 		for n, wk := range s.workers {
-			if !wk.Gone && n > r.URL.Query().Get("from") {
+			if !wk.Gone && n > from {
 				out.Machines = append(out.Machines, wire.ListedMachine{Name: n, Address: wk.Addr, Type: wk.Type, Zone: wk.Zone, Spot: wk.Spot, State: wire.MachineRunning, AgeS: (s.now() - s.rentedAt[n]).Seconds()})
 			}
 		}
 		sort.Slice(out.Machines, func(a, b int) bool { return out.Machines[a].Name < out.Machines[b].Name })
+		if most, _ := strconv.Atoi(r.URL.Query().Get("most")); most > 0 && len(out.Machines) > most {
+			out.Machines, out.More = out.Machines[:most], true
+		}
 		reply(w, 200, out)
 	})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -29,10 +29,13 @@
 	// ResignPause is how long a leader that resigned because no worker reached
 	// it stays out of elections; the others need at most a lease's time.
 	ResignPause = 12 * time.Second
-	// FenceBits is the number of low bits of a token that a leader may count
-	// up by itself. 2^20 fences per term outlast any term, and 44 bits are left
-	// for the state service's revisions.
-	FenceBits = 20
+	// FenceBits is the number of low bits of a token, and of an attempt's number, that
+	// a leader may count up by itself; 44 bits are left for the state service's
+	// revisions. 4,000 machines with tasks of half a minute use up 2^20 attempts in an
+	// hour, so a leader whose counters have passed CountersUsed of that resigns, and the
+	// next term has all of them again. What is left is for the starts of one tick.
+	FenceBits    = 20
+	CountersUsed = 15.0 / 16
 	// TermAhead is by how many revisions a leader's term may be above our own to be
 	// believed: days of changes at hundreds a second.
 	TermAhead = 1 << 26
@@ -377,6 +380,9 @@
 	PeerEvery   = 700 * time.Millisecond
 	PeerTimeout = 1500 * time.Millisecond
 	PeerDead    = 2500 * time.Millisecond
+	// PeerAnswer bounds a peer's answer, in bytes. The leader's has the number of running
+	// tasks of each job that has some, at about 14 bytes a job.
+	PeerAnswer = 8 << 20
 	// VoteGap is the least time between two leaders that a node votes out: who
 	// finds the next one dead as well at once is likely to be wrong.
 	VoteGap = 10 * time.Second
