--- a/cmd/standins/main.go
+++ b/cmd/standins/main.go
@@ -24,6 +24,7 @@
 	Listen string            `default:"127.0.0.1:7000" help:"Address of the state service; the cloud is on the next port."`
 	Node   map[string]string `default:"drover-0=127.0.0.1:8080" help:"Controllers' addresses by name."`
 	Team   string            `default:"crew" help:"The team that may submit."`
+	Limit  float64           `default:"64" help:"Its limit in CPUs, by which the rules are checked."`
 }
 
 // Run serves until interrupted.
@@ -42,7 +43,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	types := []wire.MachineType{{Name: "box", CPUs: 8, MemoryGB: 32, CacheGB: 40, FetchGBs: 1, Price: 1, SpotCost: 0.4, BootS: 2, Zones: []string{"a", "b"}}}
-	site := standin.NewSite(types, map[string]float64{c.Team: 64}, c.Node, 2*time.Second, time.Second, 12*time.Second)
+	site := standin.NewSite(types, map[string]float64{c.Team: c.Limit}, c.Node, 2*time.Second, time.Second, 12*time.Second)
 	failed := make(chan error, 2)
 	for addr, h := range map[string]http.Handler{
 		c.Listen:                                withUploads(site, site.State()),
@@ -81,7 +82,7 @@
 	Site    string  `default:"127.0.0.1:7000" help:"The stand-ins' address."`
 	Team    string  `default:"crew" help:"The team."`
 	Tasks   int     `default:"1" help:"How many tasks."`
-	CPUs    float64 `default:"1" help:"CPUs of each task."`
+	CPUs    float64 `name:"cpus" default:"1" help:"CPUs of each task."`
 	Seconds float64 `default:"5" help:"Run time of each task."`
 	Service bool    `help:"Tasks run until the job is cancelled."`
 }
