--- /dev/null
+++ b/internal/core/attempt.go
@@ -0,0 +1,182 @@
+package core
+
+import (
+	"sort"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/recovery"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// taskRef names a task.
+type taskRef struct {
+	job   string
+	index int
+}
+
+// attempt is one try of a task on one machine.
+type attempt struct {
+	ref    taskRef
+	job    *job // nil if the job is not live
+	m      *machine
+	number uint64
+
+	recorded bool // durably
+	queued   bool // to be written with the next batch
+	batches  []*batch
+	sent     bool // a start has been or may have been sent
+	seen     bool // the worker has listed it: the start is acknowledged
+	state    string
+
+	// The latest start: what has to be known before it counts as not executed.
+	session   uint64 // worker's session to which it was sent
+	replyTick uint64 // report in whose answer it went; 0 if none
+	needFence uint64 // fence below which it may still be executed late
+	calling   bool   // a direct call with it is out
+
+	probes    int
+	firstSent time.Duration
+	nextProbe time.Duration
+	giveUp    bool
+
+	class      recovery.Class // of one from before the term
+	awaitsStop bool           // a difference asked for its stop
+
+	halt     bool
+	haltSent bool
+	haltSave bool
+	haltWhy  string
+	haltedAt time.Duration // last time that a stop was sent
+
+	placedAt  time.Duration
+	runningAt time.Duration
+}
+
+// attach enters an attempt everywhere that counts it.
+func (l *Leader) attach(a *attempt) {
+	a.m.tasks[a.ref] = a
+	a.m.taskSummary = nil
+	if a.job == nil {
+		return
+	}
+	j := a.job
+	if len(j.active[a.ref.index]) == 0 {
+		j.nActive++
+	}
+	j.active[a.ref.index] = append(j.active[a.ref.index], a)
+	a.m.cpus += j.spec.CPUs
+	a.m.gpus += j.spec.GPUs
+	a.m.mem += j.spec.MemoryGB
+	u := l.use(j.spec.Team)
+	u.CPUs += j.spec.CPUs
+	u.GPUs += j.spec.GPUs
+}
+
+func (l *Leader) use(team string) *Team {
+	u := l.usage[team]
+	if u == nil {
+		u = &Team{}
+		l.usage[team] = u
+	}
+	return u
+}
+
+// detach removes an attempt that is proven gone.
+func (l *Leader) detach(a *attempt) {
+	m := a.m
+	if m.tasks[a.ref] != a {
+		return
+	}
+	delete(m.tasks, a.ref)
+	m.taskSummary = nil
+	l.stopProven(a)
+	if len(m.tasks) == 0 {
+		m.idleSince = l.now.Mono
+		m.cpus, m.gpus, m.mem = 0, 0, 0 // sheds rounding
+	}
+	if !a.awaitsSave() {
+		l.unneedAll(a)
+	}
+	l.dirtyPlace = true
+	j := a.job
+	if j == nil {
+		return
+	}
+	if a.state == wire.TaskRunning {
+		j.running--
+	}
+	if len(m.tasks) > 0 {
+		m.cpus -= j.spec.CPUs
+		m.gpus -= j.spec.GPUs
+		m.mem -= j.spec.MemoryGB
+	}
+	u := l.use(j.spec.Team)
+	u.CPUs -= j.spec.CPUs
+	u.GPUs -= j.spec.GPUs
+	list := j.active[a.ref.index]
+	for i, x := range list {
+		if x == a {
+			list = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) > 0 {
+		j.active[a.ref.index] = list
+		return
+	}
+	delete(j.active, a.ref.index)
+	j.nActive--
+	if j.archived && j.nActive == 0 {
+		delete(l.jobs, j.id)
+	}
+	if !j.done.Has(a.ref.index) {
+		j.returned = append(j.returned, a.ref.index)
+	}
+}
+
+// stop asks for an attempt's end and sends that at once. An attempt that was
+// never sent simply ends.
+func (l *Leader) stop(a *attempt, save bool, why string) {
+	if !a.halt {
+		a.haltWhy = why
+		l.line(true, "stop", "task", wire.TaskName(a.ref.job, a.ref.index), "machine", a.m.name, "why", why)
+	}
+	if a.halt && (save || !a.haltSave) {
+		return
+	}
+	a.halt, a.haltSave, a.haltedAt = true, save, 0
+	a.m.taskSummary = nil
+	if !a.sent {
+		l.detach(a)
+		return
+	}
+	if !a.seen {
+		// The start may still be on its way: only a report under a higher token
+		// will show that it is not.
+		l.raise(a.m)
+		a.needFence = a.m.fence
+	}
+	l.pushDue[a.m.name] = true // with all other stops of this input
+}
+
+func sortAttempts(list []*attempt) {
+	sort.Slice(list, func(a, b int) bool {
+		x, y := list[a], list[b]
+		if x.ref.job != y.ref.job {
+			return x.ref.job < y.ref.job
+		}
+		if x.ref.index != y.ref.index {
+			return x.ref.index < y.ref.index
+		}
+		return x.number < y.number
+	})
+}
+
+func sortCommands(list []wire.Command) {
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].Task != list[b].Task {
+			return list[a].Task < list[b].Task
+		}
+		return list[a].Attempt < list[b].Attempt
+	})
+}
--- /dev/null
+++ b/internal/core/gangs.go
@@ -0,0 +1,194 @@
+package core
+
+import (
+	"container/heap"
+	"maps"
+	"math"
+	"slices"
+	"sort"
+
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// placeGang places all waiting members of a gang, or none. Where they have to be
+// together, each zone is tried: the best machine for the first of them may be in one
+// that has no room for the others.
+func (l *Leader) placeGang(r *round, j *job, n int) bool {
+	if !j.spec.Together || j.nActive > 0 {
+		return l.placeGangIn(r, j, n, "")
+	}
+	zones := map[string]bool{}
+	for _, m := range r.roomy {
+		zones[m.zone] = true
+	}
+	for _, z := range slices.Sorted(maps.Keys(zones)) {
+		if l.placeGangIn(r, j, n, z) {
+			return true
+		}
+	}
+	return false
+}
+
+// placeGangIn places them in one zone; empty: in any.
+func (l *Leader) placeGangIn(r *round, j *job, n int, zone string) bool {
+	if l.numbersLeft() < n {
+		return false
+	}
+	var placed []*attempt
+	p := l.newPicker(r, j)
+	if zone != "" {
+		p.heap = slices.DeleteFunc(p.heap, func(x pick) bool { return x.m.zone != zone })
+		heap.Init(&p.heap)
+	}
+	for range n {
+		m := p.next()
+		if m == nil {
+			break
+		}
+		i, ok := j.nextFree()
+		if !ok {
+			break
+		}
+		a := l.newAttempt(j, i, m)
+		l.attach(a)
+		p.took(m)
+		placed = append(placed, a)
+	}
+	if len(placed) < n {
+		for _, a := range placed {
+			l.detach(a)
+		}
+		l.dirtyPlace = false // nothing has changed
+		return false
+	}
+	for _, a := range placed {
+		l.record(a)
+	}
+	return true
+}
+
+// reserve keeps machines free of other work, production apart, until a gang that
+// waits for long fits on them together: room for all of it never comes by itself
+// where smaller tasks take each slot that falls free.
+func (l *Leader) reserve(j *job, n int) {
+	slots := func(m *machine) int {
+		cpus, mem := m.mt.CPUs, m.mt.MemoryGB
+		for _, a := range m.tasks {
+			if a.job != nil && (a.job.service || a.job.rank < j.rank) {
+				cpus -= a.job.spec.CPUs
+				mem -= a.job.spec.MemoryGB
+			}
+		}
+		k := wire.MaxTasks
+		if j.spec.CPUs > 0 {
+			k = min(k, int(cpus/j.spec.CPUs+epsilon))
+		}
+		if j.spec.MemoryGB > 0 {
+			k = min(k, int(mem/j.spec.MemoryGB+epsilon))
+		}
+		return max(k, 0)
+	}
+	var list []*machine
+	room := map[string]int{}
+	for _, m := range l.sorted() {
+		if l.usable(m) && !m.summarize().blocked && j.allows(m.typ, m.zone, m.spot) && slots(m) > 0 {
+			list = append(list, m)
+			room[m.zone] += slots(m)
+		}
+	}
+	best := ""
+	for _, z := range slices.Sorted(maps.Keys(room)) {
+		if best == "" || room[z] > room[best] {
+			best = z
+		}
+	}
+	fits := 0
+	for z, k := range room {
+		if z == best || !j.spec.Together {
+			fits += min(k, j.spec.ZoneCap())
+		}
+	}
+	if fits < n {
+		return // it fits only once there are more machines: keeping these empties them in vain
+	}
+	// Those that are emptiest are free soonest.
+	sort.SliceStable(list, func(a, b int) bool { return list[a].cpus < list[b].cpus })
+	taken := map[string]int{}
+	for _, m := range list {
+		if j.spec.Together && m.zone != best || n <= 0 {
+			continue
+		}
+		k := min(slots(m), j.spec.ZoneCap()-taken[m.zone])
+		if k <= 0 {
+			continue
+		}
+		taken[m.zone] += k
+		n -= k
+		m.keptFor, m.keptTo = j.id, l.now.Mono+tuning.KeepRoom
+	}
+}
+
+// hostable is how many of n waiting tasks of the job could go to the machines that
+// there are if all but production made way there. Of those that need machines yet, no
+// room is kept. What is on its way is waited for, for a while.
+func (l *Leader) hostable(j *job, n int) int {
+	if l.now.Mono-j.waitSince < tuning.PromiseFor {
+		return n
+	}
+	z := j.zones()
+	room := map[string]int{}
+	could := func() int {
+		most, sum := 0, 0
+		for zone, k := range room {
+			most = max(most, k)
+			sum += max(0, min(k, j.spec.ZoneCap()-z[zone]))
+		}
+		if j.spec.Together {
+			sum = most
+		}
+		return sum
+	}
+	for _, m := range l.sorted() {
+		if !l.usable(m) || m.summarize().blocked || !j.allows(m.typ, m.zone, m.spot) || !j.zoneOpen(z, m.zone) {
+			continue
+		}
+		cpus, gpus, mem := m.mt.CPUs, m.mt.GPUs, m.mt.MemoryGB
+		for _, a := range m.tasks {
+			if a.job.rank == 0 || a.job == j {
+				cpus -= a.job.spec.CPUs
+				gpus -= a.job.spec.GPUs
+				mem -= a.job.spec.MemoryGB
+			}
+		}
+		k := float64(n)
+		for _, part := range [][2]float64{{cpus, j.spec.CPUs}, {gpus, j.spec.GPUs}, {mem, j.spec.MemoryGB}} {
+			if part[1] > 0 {
+				k = min(k, math.Floor(part[0]/part[1]+epsilon))
+			}
+		}
+		if k < 1 {
+			continue
+		}
+		room[m.zone] = min(n, room[m.zone]+int(k))
+		if could() >= n {
+			return n // mostly after a few machines: hundreds of jobs may ask in each round
+		}
+	}
+	if j.spec.Gang() {
+		return 0 // it runs as a whole or not at all
+	}
+	return could()
+}
+
+// stopping reports whether any attempt of the job is being stopped.
+func (j *job) stopping() bool {
+	for _, list := range j.active {
+		for _, a := range list {
+			if a.halt {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/guards/leader_test.go
+++ b/internal/guards/leader_test.go
@@ -4,7 +4,7 @@
 var leaderGuards = []guard{
 	{
 		meeting: "all controllers are away for longer than a lease, and jobs were cancelled right before",
-		file:    "internal/core/leader.go",
+		file:    "internal/core/job.go",
 		cut:     "cancelled: rec.Cancelled,",
 		put:     "cancelled: false,",
 		test:    "internal/core:^TestLeadershipMeetings$/^controllers_away$",
@@ -25,14 +25,14 @@
 	},
 	{
 		meeting: "the state service refuses the leader alone and then everybody, and the confirming node fails or an answer is lost",
-		file:    "internal/core/leader.go",
+		file:    "internal/core/cancellations.go",
 		cut:     "case !j.cancelled && !j.archived:",
 		put:     "case false:",
 		test:    "internal/core:^TestLeadershipMeetings$/^refused_then_out_and_confirmer_fails$",
 	},
 	{
 		meeting: "jobs are cancelled at the moment at which the leader alone is refused, and everybody a second later",
-		file:    "internal/core/leader.go",
+		file:    "internal/core/cancellations.go",
 		cut:     "case !j.cancelled && !j.archived:",
 		put:     "case false:",
 		test:    "internal/core:^TestLeadershipMeetings$/^refused_then_out$",
@@ -67,7 +67,7 @@
 	},
 	{
 		meeting: "a zone is cut off for longer than a lease, and releases are not answered",
-		file:    "internal/core/fleet.go",
+		file:    "internal/core/returns.go",
 		cut:     "\t\t\tif !a.sent {\n\t\t\t\tl.detach(a)",
 		put:     "\t\t\tif true {\n\t\t\t\tl.detach(a)",
 		test:    "internal/core:^TestLeadershipMeetings$/^zone_cut$",
@@ -102,7 +102,7 @@
 	},
 	{
 		meeting: "a leader that could not stop everything is cut off from the node that keeps workers alive",
-		file:    "internal/core/leader.go",
+		file:    "internal/core/cancellations.go",
 		cut:     "at = min(at, j.knewAsOf)",
 		put:     "_ = j",
 		test:    "internal/core:^TestMeetings$/^a_leader_that_no_worker_reaches",
--- a/internal/guards/node_test.go
+++ b/internal/guards/node_test.go
@@ -25,14 +25,14 @@
 	},
 	{
 		meeting: "a stop is lost, and then nothing reaches the machine any more",
-		file:    "internal/core/report.go",
+		file:    "internal/core/commands.go",
 		cut:     " || renewal && a.job != nil && a.job.cancelled",
 		put:     "",
 		test:    "internal/core:^TestEachRenewalStopsWhatIsCancelled$",
 	},
 	{
 		meeting: "a new leader renews a lease before it has heard the machine under its token",
-		file:    "internal/core/report.go",
+		file:    "internal/core/commands.go",
 		cut:     "	cmds := l.halts(m, true)\n",
 		put:     "	cmds := []wire.Command{}\n",
 		test:    "internal/core:^TestEachRenewalStopsWhatIsCancelled$",
@@ -46,7 +46,7 @@
 	},
 	{
 		meeting: "the same, and other nodes keep workers alive",
-		file:    "internal/core/leader.go",
+		file:    "internal/core/cancellations.go",
 		cut:     "j.nActive > 0 || l.inUnreadableRecord(j)",
 		put:     "j.nActive > 0",
 		test:    "internal/core:^TestCancelledWithAnUnreadableRecord$",
--- a/internal/guards/recovery_test.go
+++ b/internal/guards/recovery_test.go
@@ -18,7 +18,7 @@
 	},
 	{
 		meeting: "a task completes and the controllers end before it is recorded as done",
-		file:    "internal/core/report.go",
+		file:    "internal/core/outcomes.go",
 		cut:     "\t\tl.keepUntilSaved(a)\n",
 		put:     "",
 		test:    "internal/core:^TestCompletedTaskKeepsItsRecordUntilItIsSaved$",
@@ -46,21 +46,21 @@
 	},
 	{
 		meeting: "work waits while machines with room have yet to report: rentals",
-		file:    "internal/core/fleet.go",
+		file:    "internal/core/renting.go",
 		cut:     "coming = append(coming, l.unheardRoom(false)...)",
 		put:     "",
 		test:    "internal/core:^TestNothingIsRentedOrStoppedForUnheardRoom$",
 	},
 	{
 		meeting: "work waits while machines with room have yet to report: stops",
-		file:    "internal/core/place.go",
+		file:    "internal/core/preempt.go",
 		cut:     "|| l.mayFitUnheard(r, j) {",
 		put:     "|| false && l.mayFitUnheard(r, j) {",
 		test:    "internal/core:^TestNothingIsRentedOrStoppedForUnheardRoom$",
 	},
 	{
 		meeting: "a machine is late after a cold restart",
-		file:    "internal/core/fleet.go",
+		file:    "internal/core/returns.go",
 		cut:     "!l.recovery.HoldsReturn(now, m.name) && ",
 		put:     "",
 		test:    "internal/core:^TestLateMachine$",
@@ -116,7 +116,7 @@
 	},
 	{
 		meeting: "a machine's token reaches the next term's",
-		file:    "internal/core/leader.go",
+		file:    "internal/core/counters.go",
 		cut:     "m.fence = min(m.fence+1, counterMost)",
 		put:     "m.fence++",
 		test:    "internal/core:^TestCountersStayWithinTheTerm$",
--- a/internal/guards/reports_test.go
+++ b/internal/guards/reports_test.go
@@ -3,7 +3,6 @@
 // Meetings of reports, commands and machines.
 const (
 	reportFile = "internal/core/report.go"
-	leaderFile = "internal/core/leader.go"
 	batchFile  = "internal/core/batch.go"
 	fleetFile  = "internal/core/fleet.go"
 	meetingsOf = "internal/core:^TestReportMeetings$/"
@@ -51,28 +50,28 @@
 	},
 	{
 		meeting: "a direct answer is held up and newer reports overtake it",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "		if r.Newer(m.session, m.tick) {\n			l.takeReport(m, r, false)",
 		put:     "		if true {\n			l.takeReport(m, r, false)",
 		test:    meetingsOf + "a_command_or_its_answer",
 	},
 	{
 		meeting: "a copy of a start arrives after its attempt was forgotten",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "if len(forgets) > 0 && m.directUsed {",
 		put:     "if false {",
 		test:    meetingsOf + "a_command_or_its_answer",
 	},
 	{
 		meeting: "a start is held up past its stop, and no token is ever raised",
-		file:    leaderFile,
-		cut:     "	m.fence++\n	m.directUsed = false",
+		file:    "internal/core/counters.go",
+		cut:     "	m.fence = min(m.fence+1, counterMost) // watchCounters has ended the term long before\n	m.directUsed = false",
 		put:     "	m.directUsed = false",
 		test:    meetingsOf + "a_command_or_its_answer",
 	},
 	{
 		meeting: "a start that is still on its way is stopped",
-		file:    leaderFile,
+		file:    "internal/core/attempt.go",
 		cut:     "		l.raise(a.m)\n		a.needFence = a.m.fence",
 		put:     "		a.needFence = a.m.fence",
 		test:    "internal/core:^TestHeldStartIsRefusedAfterItsStop$",
@@ -107,14 +106,14 @@
 	},
 	{
 		meeting: "a new attempt meets an ended one of its task",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "if e, ok := m.exited[a.ref]; ok && e.attempt != a.number {",
 		put:     "if e, ok := m.exited[a.ref]; ok && e.attempt != a.number && false {",
 		test:    "internal/core:^TestNoStartBesideAnEndedAttempt$",
 	},
 	{
 		meeting: "machines get work at once while writes lag, and the leader ends",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "if !a.recorded || a.halt ||",
 		put:     "if a.halt ||",
 		test:    meetingsOf + "writes_lag",
@@ -135,7 +134,7 @@
 	},
 	{
 		meeting: "a machine's reports arrive, and nothing reaches it",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "l.markUnreachable(a.m, \"a start is not acknowledged\")",
 		put:     "_ = tuning.UnreachableAfter",
 		test:    "internal/core:^TestDeafMachine$",
@@ -156,7 +155,7 @@
 	},
 	{
 		meeting: "workers open no connections, and their sessions end",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "Session: max(1, m.session), Commands: cmds",
 		put:     "Session: 1, Commands: cmds",
 		test:    meetingsOf + "workers_open_no_connections",
@@ -177,21 +176,21 @@
 	},
 	{
 		meeting: "machines open no connections, and answer direct commands",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "		l.heardAny = now.Mono\n		m.heardAt = now.Mono\n		delete",
 		put:     "		delete",
 		test:    "internal/core:^TestMuteMachineUnderANewLeader$",
 	},
 	{
 		meeting: "a done task is listed again and again while its job's others run",
-		file:    reportFile,
+		file:    "internal/core/outcomes.go",
 		cut:     "index >= j.spec.Tasks || j.done.Has(index) || j.service {",
 		put:     "index >= j.spec.Tasks || j.service {",
 		test:    "internal/core:^TestEndsFarApartAcrossLeaders$",
 	},
 	{
 		meeting: "a leader ends between a task's end and the write of it",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "ref.index < j.spec.Tasks && !j.saved.Has(ref.index) && !j.service",
 		put:     "ref.index < j.spec.Tasks && !j.done.Has(ref.index) && !j.service",
 		test:    "internal/core:^TestEndsFarApartAcrossLeaders$",
@@ -226,7 +225,7 @@
 	},
 	{
 		meeting: "another machine answers at a machine's address",
-		file:    reportFile,
+		file:    "internal/core/commands.go",
 		cut:     "if r != nil && r.Machine != m.name {",
 		put:     "if false {",
 		test:    "internal/core:^TestAnswerOfAnotherMachine$",
--- a/internal/guards/standin_test.go
+++ b/internal/guards/standin_test.go
@@ -11,14 +11,14 @@
 	},
 	{
 		meeting: "machines hang past their lease, and their deletion is held back",
-		file:    "internal/core/fleet.go",
+		file:    "internal/core/returns.go",
 		cut:     "	if res != ReleaseDone {\n",
 		put:     "	if res == ReleaseRefused {\n",
 		test:    "internal/core:^TestHungMachinesTasksStartElsewhereOnlyByProof$",
 	},
 	{
 		meeting: "a rental without an answer is carried out late, and its machines never come up",
-		file:    "internal/core/fleet.go",
+		file:    "internal/core/returns.go",
 		cut:     "return \"never came up\"",
 		put:     "return \"\"",
 		test:    "internal/core:^TestUnexpectedMachinesAreReturned$",
@@ -39,7 +39,7 @@
 	},
 	{
 		meeting: "jobs of one task come four a second and are cancelled as they start",
-		file:    "internal/core/leader.go",
+		file:    "internal/core/attempt.go",
 		cut:     "	l.pushDue[a.m.name] = true // with all other stops of this input\n",
 		put:     "",
 		test:    "internal/core:^TestNothingStartsAfterAConfirmedCancellation$",
