Recovery: an attempt is judged by reports under the term's token; several scripts

A copy of an old report could make the recovery take an attempt for unrecorded, or confirmed, that was long gone, and hold work back for it. It counts against limits at once as before, and for the recovery once a report under our token shows it.

--script may be repeated and YARROWGAP_SCRIPT wins over all, so that a command line that switches the recovery on does not undo operators' settings.

--- a/cmd/yarrowgap/main.go
+++ b/cmd/yarrowgap/main.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strings"
 
 	"github.com/alecthomas/kong"
@@ -96,7 +97,18 @@
 // inputs are what serving and checking share.
 type inputs struct {
 	Config string `required:"" placeholder:"FILE" help:"The platform's settings file (TOML)."`
-	Script string `placeholder:"FILE" env:"YARROWGAP_SCRIPT" help:"The operators' own settings (Starlark); see docs/operations.md."`
+	// Scripts are read in their order, and the one that the environment names after them,
+	// so that it wins over what the deploy file's command line has.
+	Script    []string `placeholder:"FILE" sep:"none" help:"The operators' own settings (Starlark); see docs/operations.md. May be repeated: later ones win, and the file that YARROWGAP_SCRIPT names over all."`
+	EnvScript string   `name:"env-script" hidden:"" env:"YARROWGAP_SCRIPT"`
+}
+
+// scripts lists the scripts, the one that wins last.
+func (in inputs) scripts() []string {
+	if in.EnvScript == "" {
+		return in.Script
+	}
+	return append(slices.Clone(in.Script), in.EnvScript)
 }
 
 func (in inputs) load() (*config.Settings, policy.Settings, error) {
@@ -105,8 +117,8 @@
 		return nil, policy.Settings{}, usageError{err}
 	}
 	pol := policy.Defaults(cfg.Thrifty())
-	if in.Script != "" {
-		if pol, err = policy.Load(in.Script, pol); err != nil {
+	for _, script := range in.scripts() {
+		if pol, err = policy.Load(script, pol); err != nil {
 			return nil, pol, usageError{err}
 		}
 	}
--- a/cmd/yarrowgap/main_test.go
+++ b/cmd/yarrowgap/main_test.go
@@ -46,6 +46,29 @@
 	}
 }
 
+// Scripts are read in their order, and the environment's wins over all: a command line
+// that switches something on does not undo the operators' own settings.
+func TestScriptsInOrder(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	in := inputs{Config: "../../examples/local.toml", EnvScript: file("env.star", "max_machines = 3\n"),
+		Script: []string{file("a.star", "recovery = True\nprobe_count = 2\n"), file("b.star", "probe_count = 4\nmax_machines = 9\n")}}
+	_, got, err := in.load()
+	if err != nil || !got.Recovery || got.ProbeCount != 4 || got.MaxMachines != 3 {
+		t.Errorf("read as %+v, %v", got, err)
+	}
+	in.EnvScript = file("bad.star", "speed = 3\n")
+	if _, _, err := in.load(); err == nil || !strings.Contains(err.Error(), "bad.star:1") {
+		t.Errorf("a wrong script of the environment: %v", err)
+	}
+}
+
 func TestLogLevel(t *testing.T) {
 	var b bytes.Buffer
 	for _, level := range []string{"error", "info", "debug", ""} {
--- a/internal/api/recovery_test.go
+++ b/internal/api/recovery_test.go
@@ -155,6 +155,9 @@
 		if got := c.site.Orders(); got != need {
 			t.Errorf("seed %d: ordered %+v, needed %+v\n%+v", seed, got, need, status)
 		}
+		if stops := status.Orders[recovery.OrderStop.String()]; stops.Total != need.Stops || stops.Traced != need.Stops {
+			t.Errorf("seed %d: stops as the leader counts them: %+v, needed %d", seed, stops, need.Stops)
+		}
 		if seed == 0 && (status.Differences != 0 || status.Classes[recovery.Confirmed.String()] != recoveryMachines*machineTasks) {
 			t.Errorf("after a clean restart: %+v", status)
 		}
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -39,8 +39,9 @@
 	nextProbe time.Duration
 	giveUp    bool
 
-	class      recovery.Class // of one from before the term
-	awaitsStop bool           // a difference asked for its stop
+	class      recovery.Class   // of one from before the term
+	pending    recovery.Verdict // on one that was unexpected, until a report under our token shows it
+	awaitsStop bool             // a difference asked for its stop
 
 	halt     bool
 	haltSent bool
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -42,6 +42,7 @@
 	// Order of its messages, and what it has seen.
 	session, tick, checkinTick uint64
 	seenToken                  uint64
+	underTerm                  bool   // its last report was sent under this term's token
 	confirmed                  bool   // its present tasks are known under our term
 	fence                      uint64 // low bits of the token now used with it
 	directUsed                 bool   // starts went directly under the present fence
--- a/internal/core/outcomes.go
+++ b/internal/core/outcomes.go
@@ -10,6 +10,7 @@
 func (l *Leader) exited(a *attempt, t *wire.TaskReport) {
 	j, m := a.job, a.m
 	a.seen = true
+	l.foundPending(a)
 	if t.Cause == wire.CauseDone {
 		l.judgeRecorded(a, recovery.Completed)
 		l.keepUntilSaved(a)
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -102,12 +102,32 @@
 	}
 }
 
-// judgeUnexpected gives the verdict on an attempt that runs on a machine where the
-// leader did not place it, before it is attached.
-func (l *Leader) judgeUnexpected(a *attempt) recovery.Verdict {
-	verdict := recovery.Classify(l.evidence(a, recovery.Active))
-	l.found(a, verdict, false)
-	return verdict
+// confirm takes the word of a report that an attempt is active. Only one under our token
+// tells the recovery of it: a copy of an earlier one may list what is long gone. The
+// attempt counts all the same, from when it is first seen.
+func (l *Leader) confirm(a *attempt) {
+	if !a.m.underTerm {
+		return
+	}
+	l.judgeRecorded(a, recovery.Active)
+	l.foundPending(a)
+}
+
+// suspend keeps the verdict on an unexpected attempt until it is confirmed, or has ended.
+func (l *Leader) suspend(a *attempt, verdict recovery.Verdict) {
+	a.pending = verdict
+	if l.before(a.number) {
+		l.recovery.Plan(l.difference(a.m, a.ref, a.number, verdict, false))
+	}
+}
+
+// foundPending tells the recovery of an unexpected attempt.
+func (l *Leader) foundPending(a *attempt) {
+	if a.pending.Class != recovery.None {
+		verdict := a.pending
+		a.pending = recovery.Verdict{}
+		l.found(a, verdict, false)
+	}
 }
 
 // stopObsolete stops what the records alone show to be over: attempts whose job has
--- a/internal/core/recovery_test.go
+++ b/internal/core/recovery_test.go
@@ -146,6 +146,9 @@
 			if stopped := slices.Contains(d.stopsOf("n-1", reply), attempt); stopped != tc.stopped {
 				t.Errorf("stopped: %v", stopped)
 			}
+			d.answerQuestions([]string{"n-1"})
+			d.calls = nil
+			d.report("n-1", taskOn(attempt, wire.TaskRunning)) // under our token
 			if d.classes()[tc.class.String()] == 0 {
 				t.Errorf("classes: %v", d.classes())
 			}
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -163,6 +163,7 @@
 		m.leaveBy = by
 	}
 	under := r.Token >= l.term<<tuning.FenceBits && Term(r.Token) == l.term
+	m.underTerm = under
 	listed := make(map[taskRef]bool, len(r.Tasks))
 	still := make(map[taskRef]exit, len(m.exited))
 	for i := range r.Tasks {
@@ -247,7 +248,8 @@
 	if j != nil && ref.index < j.spec.Tasks {
 		a.job = j
 	}
-	verdict := l.judgeUnexpected(a)
+	verdict := recovery.Classify(l.evidence(a, recovery.Active))
+	l.suspend(a, verdict)
 	l.attach(a)
 	l.record(a)
 	if verdict.Action == recovery.Adopt {
@@ -262,11 +264,11 @@
 func (l *Leader) progress(a *attempt, t *wire.TaskReport) {
 	if !a.seen {
 		a.seen = true
-		l.judgeRecorded(a, recovery.Active)
 		if a.firstSent > 0 && l.AckLatency != nil {
 			l.AckLatency(l.now.Mono - a.firstSent)
 		}
 	}
+	l.confirm(a)
 	if a.state == t.State {
 		return
 	}
--- a/internal/recovery/reconciler.go
+++ b/internal/recovery/reconciler.go
@@ -177,6 +177,14 @@
 	return true
 }
 
+// Plan takes note of the orders that a difference leads to, for an attempt that is found
+// only later.
+func (r *Reconciler) Plan(d Difference) {
+	if r.phase != Settled {
+		r.ledger.expect(d)
+	}
+}
+
 // AwaitStop takes note that an attempt is being stopped for a difference, and Stopped
 // that it is proven gone.
 func (r *Reconciler) AwaitStop() { r.stops++ }
