--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -1,9 +1,13 @@
 package core
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/recovery"
@@ -47,6 +51,15 @@
 	return &slot{t.Name, zone, spot, t, t.CPUs, t.GPUs, t.MemoryGB}
 }
 
+// rentalPlan is what one look at the fleet orders.
+type rentalPlan struct {
+	l       *Leader
+	coming  []*slot // room on machines that are on their way, then on ordered ones
+	perZone map[string]int
+	count   int // machines that there are, come or are ordered
+	orders  map[offer]int
+}
+
 // rent asks for machines for what could not be placed, counting those that are
 // on their way, and for spare ones where price is no aim.
 func (l *Leader) rent(left []unplaced) {
@@ -54,104 +67,159 @@
 		return
 	}
 	l.rentAt = l.now.Mono
-	var coming []*slot
-	perZone := map[string]int{}
-	count := 0
+	p := l.newRentalPlan()
+	p.cover(left)
+	p.coverNextService()
+	p.coverSpare()
+	p.place()
+}
+
+// newRentalPlan counts what there is and what is on its way.
+func (l *Leader) newRentalPlan() *rentalPlan {
+	p := &rentalPlan{l: l, perZone: map[string]int{}, orders: map[offer]int{}}
 	late := l.lateBoots()
 	for _, m := range l.sorted() {
 		if m.phase != releasing {
-			perZone[m.zone]++
-			count++
+			p.perZone[m.zone]++
+			p.count++
 		}
 		if m.phase == booting && !m.failed && m.mt != nil && !late[m] {
-			coming = append(coming, newSlot(m.mt, m.zone, m.spot))
+			p.coming = append(p.coming, newSlot(m.mt, m.zone, m.spot))
 		}
 	}
-	coming = append(coming, l.unheardRoom(false)...)
-	names := make([]string, 0, len(l.rentals))
-	for n := range l.rentals {
-		names = append(names, n)
+	p.coming = append(p.coming, l.unheardRoom(false)...)
+	for _, name := range slices.Sorted(maps.Keys(l.rentals)) {
+		p.expect(l.rentals[name])
 	}
-	sort.Strings(names)
-	for _, n := range names {
-		r := l.rentals[n]
-		if t := l.types[r.offer.typ]; t != nil {
-			for i := 0; i < r.count; i++ {
-				coming = append(coming, newSlot(t, r.offer.zone, r.offer.spot))
-			}
-			perZone[r.offer.zone] += r.count
-			count += r.count
-		}
+	return p
+}
+
+// expect counts the machines of a rental without an answer.
+func (p *rentalPlan) expect(r *rentalState) {
+	t := p.l.types[r.offer.typ]
+	if t == nil {
+		return
 	}
-	orders := map[offer]int{}
-	order := func(j *job) bool {
-		if l.cfg.Policy.MaxMachines > 0 && count >= l.cfg.Policy.MaxMachines {
-			return false
-		}
-		o, ok := l.bestOffer(j, perZone)
-		if !ok {
-			return false
-		}
-		orders[o]++
-		perZone[o.zone]++
-		count++
-		coming = append(coming, newSlot(l.types[o.typ], o.zone, o.spot))
-		return true
+	for range r.count {
+		p.coming = append(p.coming, newSlot(t, r.offer.zone, r.offer.spot))
 	}
+	p.perZone[r.offer.zone] += r.count
+	p.count += r.count
+}
+
+// order orders the machine that is best for a job, or, without one, as spare. It returns
+// nil if there is none to have.
+func (p *rentalPlan) order(j *job) *slot {
+	if most := p.l.cfg.Policy.MaxMachines; most > 0 && p.count >= most {
+		return nil
+	}
+	o, ok := p.l.bestOffer(j, p.perZone)
+	if !ok {
+		return nil
+	}
+	p.orders[o]++
+	p.perZone[o.zone]++
+	p.count++
+	s := newSlot(p.l.types[o.typ], o.zone, o.spot)
+	p.coming = append(p.coming, s)
+	return s
+}
+
+// cover finds room for tasks on what comes, and orders machines for the rest.
+func (p *rentalPlan) cover(left []unplaced) {
 	least := leastOf(left)
 	full := 0 // slots at the front in which nothing of what is left fits any more
 	for _, w := range left {
-		n := w.n
-		for full < len(coming) && !coming[full].fits(least) {
+		for full < len(p.coming) && !p.coming[full].fits(least) {
 			full++
 		}
-		for _, s := range coming[full:] {
-			for n > 0 && s.take(w.j) {
-				n--
-			}
-			if n == 0 {
+		n := w.n
+		for _, s := range p.coming[full:] {
+			if n = s.takeUpTo(w.j, n); n == 0 {
 				break
 			}
 		}
-		for n > 0 && order(w.j) {
-			s := coming[len(coming)-1]
-			if !s.take(w.j) {
+		for n > 0 {
+			s := p.order(w.j)
+			if s == nil {
 				break
 			}
-			for n--; n > 0 && s.take(w.j); n-- {
+			rest := s.takeUpTo(w.j, n)
+			if rest == n {
+				break
 			}
+			n = rest
 		}
 	}
-	if s := l.newSpare(); !s.enough() {
-		fits := false
-		for _, c := range coming {
-			fits = fits || !c.spot && c.take(s.big)
-		}
-		if !fits {
-			order(s.big)
-		}
+}
+
+// takeUpTo takes room for up to n tasks of the job, and says how many are left.
+func (s *slot) takeUpTo(j *job, n int) int {
+	for n > 0 && s.take(j) {
+		n--
+	}
+	return n
+}
+
+// coverNextService orders a machine if the next service would find no room.
+func (p *rentalPlan) coverNextService() {
+	s := p.l.newSpare()
+	if s.enough() {
+		return
+	}
+	fits := false
+	for _, c := range p.coming {
+		fits = fits || !c.spot && c.take(s.big)
 	}
-	l.rentSpare(perZone, orders, &count)
-	keys := make([]offer, 0, len(orders))
-	for o := range orders {
-		keys = append(keys, o)
+	if !fits {
+		p.order(s.big)
 	}
-	sort.Slice(keys, func(a, b int) bool {
-		x, y := keys[a], keys[b]
-		if x.typ != y.typ {
-			return x.typ < y.typ
+}
+
+// coverSpare orders machines up to the spare capacity that operators want.
+func (p *rentalPlan) coverSpare() {
+	l := p.l
+	if l.cfg.Policy.SpareShare <= 0 {
+		return
+	}
+	used, total := l.capacity()
+	for _, r := range l.rentals {
+		if t := l.types[r.offer.typ]; t != nil {
+			total += t.CPUs * float64(r.count)
 		}
-		if x.zone != y.zone {
-			return x.zone < y.zone
+	}
+	for o, n := range p.orders {
+		total += l.types[o.typ].CPUs * float64(n)
+	}
+	for total < used*(1+l.cfg.Policy.SpareShare) {
+		s := p.order(nil)
+		if s == nil {
+			return
 		}
-		return !x.spot && y.spot
-	})
-	for _, o := range keys {
-		if !l.recovery.TakeCloudCall(l.now.Mono) {
+		total += s.mt.CPUs
+	}
+}
+
+// place sends the orders, a request for each kind of machine.
+func (p *rentalPlan) place() {
+	for _, o := range slices.SortedFunc(maps.Keys(p.orders), offer.compare) {
+		if !p.l.recovery.TakeCloudCall(p.l.now.Mono) {
 			return // the rest with a later look
 		}
-		l.order(o, min(orders[o], tuning.RentMax))
+		p.l.order(o, min(p.orders[o], tuning.RentMax))
+	}
+}
+
+// compare orders offers by type and zone, ordinary machines before spot ones.
+func (o offer) compare(other offer) int {
+	spot := 0
+	switch {
+	case o.spot && !other.spot:
+		spot = 1
+	case !o.spot && other.spot:
+		spot = -1
 	}
+	return cmp.Or(strings.Compare(o.typ, other.typ), strings.Compare(o.zone, other.zone), spot)
 }
 
 // lateBoots are the machines that may never come up: they are replaced at once, and
--- a/internal/core/report.go
+++ b/internal/core/report.go
@@ -153,63 +153,82 @@
 		m.checkinTick = r.Tick
 	}
 	m.seenToken = max(m.seenToken, r.Token)
-	if r.RecallS != nil {
-		by := l.now.Mono + time.Duration(*r.RecallS*float64(time.Second))
-		if m.leaveBy == 0 {
-			l.line(false, "machine will be taken back", "machine", m.name, "in_s", *r.RecallS, "tasks", len(m.tasks))
-			m.leaveBy = by
-			l.evacuate(m)
-		}
-		m.leaveBy = by
-	}
-	under := r.Token >= l.term<<tuning.FenceBits && Term(r.Token) == l.term
-	m.underTerm = under
+	m.underTerm = r.Token >= l.term<<tuning.FenceBits && Term(r.Token) == l.term
+	l.takeRecall(m, r)
 	listed := make(map[taskRef]bool, len(r.Tasks))
 	still := make(map[taskRef]exit, len(m.exited))
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
 		id, index, _ := wire.SplitTask(t.Task)
 		ref := taskRef{id, index}
-		a := m.tasks[ref]
-		if a != nil && a.number != t.Attempt {
-			if t.State != wire.TaskExited {
-				// Another attempt of this task is here: an old one that has to
-				// go before ours can start.
-				listed[ref] = true
-				l.unexpectedAttempt(m, ref, t)
-			} else {
-				still[ref] = exit{t.Attempt, t.Cause == wire.CauseDone}
-				l.foundExited(m, ref, t)
-				if t.Cause == wire.CauseDone && a.job != nil {
-					l.taskDone(a.job, index)
-				}
-			}
-			continue
-		}
 		if t.State == wire.TaskExited {
-			if a != nil {
-				listed[ref] = true
-				l.exited(a, t)
-			} else {
-				l.foundExited(m, ref, t)
-				if j := l.jobs[id]; j != nil && t.Cause == wire.CauseDone && index < j.spec.Tasks {
-					l.taskDone(j, index)
-				}
-			}
+			listed[ref] = l.takeExit(m, ref, t) || listed[ref]
 			still[ref] = exit{t.Attempt, t.Cause == wire.CauseDone}
-			continue
-		}
-		if a == nil {
-			l.unexpectedAttempt(m, ref, t)
-			a = m.tasks[ref]
-			if a == nil {
-				continue
-			}
+		} else {
+			listed[ref] = true
+			l.takeActive(m, ref, t)
 		}
-		listed[ref] = true
-		l.progress(a, t)
 	}
 	m.exited = still
+	l.takeAbsences(m, r, checkin, listed)
+	// A worker that has seen no token is new, if we rented its machine ourselves:
+	// of another it may be a late copy of its first report.
+	if !m.confirmed && (m.underTerm || len(m.tasks) == 0 && r.Token == 0 && m.ours) {
+		m.confirmed = true
+		l.dirtyPlace = true
+		l.recovery.Heard(l.now.Mono, m.name)
+	}
+}
+
+// takeRecall takes the notice that the cloud takes the machine away.
+func (l *Leader) takeRecall(m *machine, r *wire.Report) {
+	if r.RecallS == nil {
+		return
+	}
+	by := l.now.Mono + time.Duration(*r.RecallS*float64(time.Second))
+	if m.leaveBy == 0 {
+		l.line(false, "machine will be taken back", "machine", m.name, "in_s", *r.RecallS, "tasks", len(m.tasks))
+		m.leaveBy = by
+		l.evacuate(m)
+	}
+	m.leaveBy = by
+}
+
+// takeExit takes a listed attempt that has ended, and says whether it is the one that our
+// picture has of the task.
+func (l *Leader) takeExit(m *machine, ref taskRef, t *wire.TaskReport) bool {
+	a := m.tasks[ref]
+	if a != nil && a.number == t.Attempt {
+		l.exited(a, t)
+		return true
+	}
+	l.foundExited(m, ref, t)
+	if j := l.jobs[ref.job]; j != nil && t.Cause == wire.CauseDone && ref.index < j.spec.Tasks {
+		l.taskDone(j, ref.index)
+	}
+	return false
+}
+
+// takeActive takes a listed attempt that fetches, runs or saves.
+func (l *Leader) takeActive(m *machine, ref taskRef, t *wire.TaskReport) {
+	a := m.tasks[ref]
+	if a != nil && a.number != t.Attempt {
+		// Another attempt of this task is here: an old one that has to go before ours
+		// can start.
+		l.unexpectedAttempt(m, ref, t)
+		return
+	}
+	if a == nil {
+		l.unexpectedAttempt(m, ref, t)
+		a = m.tasks[ref]
+	}
+	if a != nil {
+		l.progress(a, t)
+	}
+}
+
+// takeAbsences takes what the report does not list: what it proves gone is gone.
+func (l *Leader) takeAbsences(m *machine, r *wire.Report, checkin bool, listed map[taskRef]bool) {
 	var missing []*attempt
 	for _, a := range m.tasks {
 		if !listed[a.ref] && l.provenAbsent(a, r, checkin) {
@@ -220,13 +239,6 @@
 	for _, a := range missing {
 		l.vanished(a)
 	}
-	// A worker that has seen no token is new, if we rented its machine ourselves:
-	// of another it may be a late copy of its first report.
-	if !m.confirmed && (under || len(m.tasks) == 0 && r.Token == 0 && m.ours) {
-		m.confirmed = true
-		l.dirtyPlace = true
-		l.recovery.Heard(l.now.Mono, m.name)
-	}
 }
 
 // unexpectedAttempt deals with a task that the worker has and we did not place there.
--- a/internal/core/spare.go
+++ b/internal/core/spare.go
@@ -97,31 +97,3 @@
 	}
 	return used, total
 }
-
-func (l *Leader) rentSpare(perZone map[string]int, orders map[offer]int, count *int) {
-	if l.cfg.Policy.SpareShare <= 0 {
-		return
-	}
-	used, total := l.capacity()
-	for _, r := range l.rentals {
-		if t := l.types[r.offer.typ]; t != nil {
-			total += t.CPUs * float64(r.count)
-		}
-	}
-	for o, n := range orders {
-		total += l.types[o.typ].CPUs * float64(n)
-	}
-	for total < used*(1+l.cfg.Policy.SpareShare) {
-		if l.cfg.Policy.MaxMachines > 0 && *count >= l.cfg.Policy.MaxMachines {
-			return
-		}
-		o, ok := l.bestOffer(nil, perZone)
-		if !ok {
-			return
-		}
-		orders[o]++
-		perZone[o.zone]++
-		*count++
-		total += l.types[o.typ].CPUs
-	}
-}
