--- a/internal/guards/room_test.go
+++ b/internal/guards/room_test.go
@@ -5,8 +5,8 @@
 	{
 		meeting: "a job that missed all its deadlines is alone with large tasks",
 		file:    "internal/core/place.go",
-		cut:     "if bounded && rest == 0 {",
-		put:     "if bounded && rest < 0 {",
+		cut:     "if t.bounded && rest == 0 {",
+		put:     "if t.bounded && rest < 0 {",
 		test:    "internal/core:^TestShareOfOldJobsIsNoBound$",
 	},
 	{
@@ -47,8 +47,8 @@
 	{
 		meeting: "a gang fits on no set of machines, and makes room there",
 		file:    "internal/core/place.go",
-		cut:     "if i < turns && could > 0 {",
-		put:     "if i < turns {",
+		cut:     "if t.first && t.could > 0 {",
+		put:     "if t.first {",
 		test:    "internal/core:^TestGangThatCannotFitKeepsNothing$",
 	},
 	{
@@ -110,8 +110,8 @@
 	{
 		meeting: "jobs that missed all their deadlines are left after a time of overload",
 		file:    "internal/core/place.go",
-		cut:     "if bounded && rest == 0 {",
-		put:     "if bounded && rest < 0 {",
+		cut:     "if t.bounded && rest == 0 {",
+		put:     "if t.bounded && rest < 0 {",
 		test:    "internal/core:^TestMoreWorkThanRoom$",
 	},
 }
