Node and constants as files of one concern

Declarations are moved as they stand: calls, peers, recovery, replica, queries, submissions, forwarding, machine types; constants by what they bound. Guards follow.

--- a/internal/guards/answers_test.go
+++ b/internal/guards/answers_test.go
@@ -5,14 +5,14 @@
 var answersGuards = []guard{
 	{
 		meeting: "users ask at all nodes right after a job was accepted",
-		file:    "internal/node/users.go",
+		file:    "internal/node/queries.go",
 		cut:     "if at, err = n.fresh(ctx); err != nil {",
 		put:     "if at = time.Now(); err != nil {",
 		test:    "internal/api:^TestNoNodeTellsAnOlderAnswer$",
 	},
 	{
 		meeting: "a question comes while an earlier one's read is out",
-		file:    "internal/node/users.go",
+		file:    "internal/node/replica.go",
 		cut: `		c := n.next
 		n.next = nil
 		if c == nil {
@@ -39,21 +39,21 @@
 	},
 	{
 		meeting: "a submission is carried out after the job was cancelled",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
 		put:     "If:    []wire.Condition{{Key: store.EndedKey(job.ID)}},",
 		test:    "internal/api:^TestLateWritesChangeNothing$/^submission_after_a_cancellation$",
 	},
 	{
 		meeting: "a submission is carried out after the job has ended as cancelled",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
 		put:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}},",
 		test:    "internal/api:^TestLateWritesChangeNothing$/^submission_after_the_end_of_a_cancelled_job$",
 	},
 	{
 		meeting: "a submission is carried out after the job is done",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
 		put:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}},",
 		test:    "internal/api:^TestLateWritesChangeNothing$/^submission_after_the_end_of_a_done_job$",
@@ -102,14 +102,14 @@
 	},
 	{
 		meeting: "a submission is repeated whose answer was lost, after a cancellation",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
 		put:     "",
 		test:    "internal/api:^TestNoOlderAnswerWhereAnswersAreLost$",
 	},
 	{
 		meeting: "a known job's submission is repeated with a malformed body while the state service is away",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut: `	case err != nil:
 		return n.pass(forwarded, fwd, err)
 	case found:
@@ -122,14 +122,14 @@
 	},
 	{
 		meeting: "a known job's submission is repeated with another body, that can never run",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "return n.unlessKnown(ctx, job.ID, verdict, fwd, forwarded)",
 		put:     "return verdict",
 		test:    "internal/api:^TestOddSubmissions$",
 	},
 	{
 		meeting: "a known job's submission is repeated with a body that is too long",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     `return n.unlessKnown(ctx, job.ID, refuse(http.StatusBadRequest, "the job's description is too long"), fwd, forwarded)`,
 		put:     `return refuse(http.StatusBadRequest, "the job's description is too long")`,
 		test:    "internal/api:^TestOddSubmissions$",
@@ -153,14 +153,14 @@
 	},
 	{
 		meeting: "a job comes and ends while a read of its absence is out, and the copy is reset",
-		file:    "internal/node/users.go",
+		file:    "internal/node/queries.go",
 		cut:     "if n.replica.Resets == resets {",
 		put:     "if _ = resets; true {",
 		test:    "internal/node:^TestAbsenceIsNotNotedAcrossAReset$",
 	},
 	{
 		meeting: "a full read of the live jobs is overtaken by changes",
-		file:    "internal/node/election.go",
+		file:    "internal/node/replica.go",
 		cut: `		if epoch < n.replica.Epoch {
 			return
 		}
@@ -170,7 +170,7 @@
 	},
 	{
 		meeting: "a process stands still between a read and its answer",
-		file:    "internal/node/users.go",
+		file:    "internal/node/queries.go",
 		cut:     "time.Since(at) < tuning.AnswerWithin {",
 		put:     "!at.IsZero() {",
 		test:    "internal/node:^TestKnownReadsAgainAfterAStandstill$",
@@ -191,7 +191,7 @@
 	},
 	{
 		meeting: "a peer decides a copy of a submission after the job has ended",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}, {Key: store.EndedKey(job.ID)}},",
 		put:     "If:    []wire.Condition{{Key: store.JobKey(job.ID)}},",
 		test:    "internal/api:^TestLateWritesChangeNothing$/^a_peer's_copy_of_a_submission_after_the_end$",
@@ -205,7 +205,7 @@
 	},
 	{
 		meeting: "a peer refuses a copy of a submission for good that was accepted meanwhile",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "ok && a.State != nil {",
 		put:     "ok {",
 		test:    "internal/node:^TestPeersRefusalDoesNotUndoAcceptance$",
--- a/internal/guards/leader_test.go
+++ b/internal/guards/leader_test.go
@@ -46,7 +46,7 @@
 	},
 	{
 		meeting: "jobs are cancelled at a node that recovers as the next leader",
-		file:    "internal/node/election.go",
+		file:    "internal/node/recover.go",
 		cut:     "leader.Cancelled(n.now(), n.confirmed.list)",
 		put:     "",
 		test:    "internal/node:^TestCancelledWhileRecovering$",
@@ -95,7 +95,7 @@
 	},
 	{
 		meeting: "a leader stands still while another one leads, and goes on as a zone is cut off",
-		file:    "internal/node/node.go",
+		file:    "internal/node/peers.go",
 		cut:     "\t\tn.led = time.Time{}\n",
 		put:     "",
 		test:    "internal/node:^TestKeptAliveByTheWordOfTheirLeader$",
--- a/internal/guards/recovery_test.go
+++ b/internal/guards/recovery_test.go
@@ -11,7 +11,7 @@
 	},
 	{
 		meeting: "the same, and peers are up for long by the time that machines are late",
-		file:    "internal/node/election.go",
+		file:    "internal/node/recover.go",
 		cut:     "n.electedAt.Sub(born) > lease/tuning.ColdPart",
 		put:     "time.Since(born) > lease/tuning.ColdPart",
 		test:    "internal/api:^TestOrdersAfterAColdRestart$",
--- a/internal/guards/standin_test.go
+++ b/internal/guards/standin_test.go
@@ -25,14 +25,14 @@
 	},
 	{
 		meeting: "a malformed repeat of an accepted submission comes while the state service refuses",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "	case err != nil:\n		return n.pass(forwarded, fwd, err)\n	case found:",
 		put:     "	case err != nil:\n		return refusal\n	case found:",
 		test:    "internal/api:^TestRepeatedSubmissionIsNeverCalledMalformed$",
 	},
 	{
 		meeting: "a repeat of an accepted submission has become too long",
-		file:    "internal/node/users.go",
+		file:    "internal/node/submissions.go",
 		cut:     "return n.unlessKnown(ctx, job.ID, refuse(http.StatusBadRequest, \"the job's description is too long\"), fwd, forwarded)",
 		put:     "return refuse(http.StatusBadRequest, \"the job's description is too long\")",
 		test:    "internal/api:^TestRepeatedSubmissionIsNeverCalledMalformed$",
