--- /dev/null
+++ b/internal/tracing/rotate.go
@@ -0,0 +1,67 @@
+package tracing
+
+import (
+	"fmt"
+	"os"
+)
+
+// olderSuffix marks the file that was full last.
+const olderSuffix = ".1"
+
+// rotatingFile appends to a file up to a size, and then begins it anew beside the one that
+// was full, so that both together stay under twice the size. Whoever runs unwatched must
+// not fill a disk.
+type rotatingFile struct {
+	path string
+	most int64
+	file *os.File
+	size int64
+}
+
+// openRotating opens a file for appending.
+func openRotating(path string, most int64) (*rotatingFile, error) {
+	r := &rotatingFile{path: path, most: most}
+	return r, r.open()
+}
+
+func (r *rotatingFile) open() error {
+	file, err := os.OpenFile(r.path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	info, err := file.Stat()
+	if err != nil {
+		_ = file.Close()
+		return err
+	}
+	r.file, r.size = file, info.Size()
+	return nil
+}
+
+// Write appends whole spans: one is never divided between two files.
+func (r *rotatingFile) Write(b []byte) (int, error) {
+	if r.size > 0 && r.size+int64(len(b)) > r.most {
+		if err := r.rotate(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := r.file.Write(b)
+	r.size += int64(n)
+	return n, err
+}
+
+// rotate puts the full file aside. If that fails the file stays as it is, and the next
+// write tries again.
+func (r *rotatingFile) rotate() error {
+	if err := os.Rename(r.path, r.path+olderSuffix); err != nil {
+		return fmt.Errorf("trace_file: %w", err)
+	}
+	full := r.file
+	if err := r.open(); err != nil {
+		return fmt.Errorf("trace_file: %w", err)
+	}
+	return full.Close()
+}
+
+// Close closes the file.
+func (r *rotatingFile) Close() error { return r.file.Close() }
--- a/internal/tracing/tracing.go
+++ b/internal/tracing/tracing.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/yarrowgap/yarrowgap/internal/recovery"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
 // Stdout is the target that stands for standard output.
@@ -43,10 +44,6 @@
 	outcomeEnded   = "term ended"
 )
 
-// queueSize is how many spans may wait for their export: the orders of a large recovery.
-// Further ones are dropped rather than waited for.
-const queueSize = 16384
-
 // Tracer makes spans. Its methods are not safe for concurrent use, but for Close.
 type Tracer struct {
 	provider *sdktrace.TracerProvider
@@ -58,7 +55,8 @@
 	term    uint64
 }
 
-// Open makes a tracer that writes to the target: a file, which is appended to, or Stdout.
+// Open makes a tracer that writes to the target: a file, which is appended to and rotated,
+// or Stdout.
 // Without a target there is none.
 func Open(target, node string) (*Tracer, error) {
 	if target == "" {
@@ -67,7 +65,7 @@
 	if target == Stdout {
 		return newTracer(os.Stdout, nil, node)
 	}
-	file, err := os.OpenFile(target, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	file, err := openRotating(target, tuning.TraceFileBytes)
 	if err != nil {
 		return nil, fmt.Errorf("trace_file: %w", err)
 	}
@@ -80,7 +78,7 @@
 		return nil, err
 	}
 	about := resource.NewSchemaless(keyService.String("yarrowgap"), keyNode.String(node))
-	provider := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exporter, sdktrace.WithMaxQueueSize(queueSize)), sdktrace.WithResource(about))
+	provider := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exporter, sdktrace.WithMaxQueueSize(tuning.TraceQueue)), sdktrace.WithResource(about))
 	return &Tracer{provider: provider, tracer: provider.Tracer("yarrowgap"), file: file}, nil
 }
 
--- a/internal/tracing/tracing_test.go
+++ b/internal/tracing/tracing_test.go
@@ -92,6 +92,34 @@
 	}
 }
 
+// A full file is put aside, whole spans at a time, and both stay under the bound; what was
+// there before is appended to.
+func TestTraceFilesAreBounded(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans.json")
+	const most, written = 100, 40
+	line := append(bytes.Repeat([]byte("x"), 29), '\n')
+	for i := range written {
+		file, err := openRotating(path, most)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 1 + i%2 {
+			if _, err := file.Write(line); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := file.Close(); err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range []string{path, path + olderSuffix} {
+			raw, err := os.ReadFile(name)
+			if len(raw) > most || len(raw)%len(line) != 0 || err != nil && (name == path || i > 3) {
+				t.Fatalf("after %d: %s has %d bytes, %v", i, name, len(raw), err)
+			}
+		}
+	}
+}
+
 // Without a target nothing is allocated, neither for spans nor for events of orders.
 func TestNoCostWhenOff(t *testing.T) {
 	tracer, err := Open("", "node-1")
--- a/internal/tuning/recovery.go
+++ b/internal/tuning/recovery.go
@@ -19,6 +19,12 @@
 	// DifferencesKept is how many differences of a recovery operators can list; further
 	// ones are only counted. Each holds some 150 bytes.
 	DifferencesKept = 5000
+	// TraceQueue is how many spans may wait for their export: the orders of a large
+	// recovery. Further ones are dropped rather than waited for.
+	TraceQueue = 16384
+	// TraceFileBytes is how large a trace file grows before it is put aside; one that was
+	// put aside before is replaced. A span takes about 1 KB.
+	TraceFileBytes = 64 << 20
 	// ColdPart is the part of the workers' lease, one to so many, for which at least one
 	// controller must have been up for a change of leader to count as a failover: its
 	// workers have been answered then. Otherwise all were away, and machines are late.
