--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -1,7 +1,6 @@
 package core_test
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -10,19 +9,12 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/yarrowgap/yarrowgap/internal/fixedseed"
 	"github.com/yarrowgap/yarrowgap/internal/store"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	// The same inputs every time, unless others are asked for.
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261201")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
 
 // Whatever is lost, late, repeated, cut or killed, no rule is broken; and once
 // the troubles end, every accepted array is completed.
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -1,7 +1,6 @@
 package recovery
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -9,17 +8,11 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/yarrowgap/yarrowgap/internal/fixedseed"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261202")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
 
 // allEvidence is every combination of what can be known of an attempt.
 func allEvidence() (all []Evidence) {
--- a/internal/store/records_test.go
+++ b/internal/store/records_test.go
@@ -1,22 +1,17 @@
 package store_test
 
 import (
-	"flag"
 	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"github.com/yarrowgap/yarrowgap/internal/fixedseed"
 	"github.com/yarrowgap/yarrowgap/internal/store"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261201")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
 
 // Done bits survive their chunks, and a chunk fits the smallest value limit.
 func TestBitmapChunks(t *testing.T) {
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -1,7 +1,6 @@
 package wire_test
 
 import (
-	"flag"
 	"math"
 	"os"
 	"reflect"
@@ -10,17 +9,11 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/yarrowgap/yarrowgap/internal/fixedseed"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "20261201")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
 
 // fields is a submission with every field, as a map that tests can spoil.
 func fields() map[string]any {
