--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -1,6 +1,9 @@
 package core
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/yarrowgap/yarrowgap/internal/recovery"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
@@ -238,21 +241,40 @@
 	a.batches = nil
 }
 
-// unheardRoom is the room that machines may turn out to have once they report: nothing
-// is rented for what fits there. Those that count as booting are left out for a caller
-// that counts these itself.
-func (l *Leader) unheardRoom(withBooting bool) []*slot {
+// eachUnheard visits the machines that may turn out to have room once they report, with
+// what is free there by the records.
+func (l *Leader) eachUnheard(visit func(m *machine, free slot)) {
 	if !l.recovery.AwaitsRoom() {
-		return nil
+		return
 	}
-	var slots []*slot
 	for _, m := range l.sorted() {
-		if m.phase == releasing || m.phase == booting && !withBooting || m.confirmed || m.mt == nil || m.failed || m.leaveBy > 0 || !l.recovery.MayHaveRoom(m.name, m.unanswered > 0) {
+		if m.confirmed || m.phase == releasing || m.mt == nil || m.failed || m.leaveBy > 0 || !l.recovery.MayHaveRoom(m.name, m.unanswered > 0) {
 			continue
 		}
-		s := newSlot(m.mt, m.zone, m.spot)
-		s.cpus, s.gpus, s.mem = s.cpus-m.cpus, s.gpus-m.gpus, s.mem-m.mem
-		slots = append(slots, s)
+		visit(m, slot{m.typ, m.zone, m.spot, m.mt, m.mt.CPUs - m.cpus, m.mt.GPUs - m.gpus, m.mt.MemoryGB - m.mem})
+	}
+}
+
+// unheardRoom sums up the room on machines that are up and have yet to report, by type,
+// zone and kind: nothing is rented for what fits there. Machines in which not even the
+// least amounts fit are left out. A slot for each machine would be more exact, and cost
+// a new leader of thousands of machines a good part of a small share of the processor.
+func (l *Leader) unheardRoom(least amounts) []*slot {
+	sums := map[offer]*slot{}
+	l.eachUnheard(func(m *machine, free slot) {
+		if m.phase != up || !free.fits(least) {
+			return
+		}
+		key := offer{m.typ, m.zone, m.spot}
+		if sums[key] == nil {
+			sums[key] = &slot{typ: m.typ, zone: m.zone, spot: m.spot, mt: m.mt}
+		}
+		sum := sums[key]
+		sum.cpus, sum.gpus, sum.mem = sum.cpus+free.cpus, sum.gpus+free.gpus, sum.mem+free.mem
+	})
+	var slots []*slot
+	for _, key := range slices.SortedFunc(maps.Keys(sums), offer.compare) {
+		slots = append(slots, sums[key])
 	}
 	return slots
 }
@@ -264,7 +286,7 @@
 		return false
 	}
 	if r.unheard == nil {
-		r.unheard = largestRooms(l.unheardRoom(true))
+		r.unheard = l.largestUnheard()
 	}
 	for _, s := range r.unheard {
 		room := *s
@@ -275,17 +297,18 @@
 	return false
 }
 
-// largestRooms gives the largest room of each resource by type, zone and kind.
-func largestRooms(slots []*slot) map[offer]*slot {
+// largestUnheard gives the largest room of each resource on a machine that has yet to
+// report, by type, zone and kind.
+func (l *Leader) largestUnheard() map[offer]*slot {
 	rooms := map[offer]*slot{}
-	for _, s := range slots {
-		key := offer{s.typ, s.zone, s.spot}
+	l.eachUnheard(func(m *machine, free slot) {
+		key := offer{m.typ, m.zone, m.spot}
 		have := rooms[key]
 		if have == nil {
-			rooms[key] = s
-			continue
+			rooms[key] = &free
+			return
 		}
-		have.cpus, have.gpus, have.mem = max(have.cpus, s.cpus), max(have.gpus, s.gpus), max(have.mem, s.mem)
-	}
+		have.cpus, have.gpus, have.mem = max(have.cpus, free.cpus), max(have.gpus, free.gpus), max(have.mem, free.mem)
+	})
 	return rooms
 }
--- a/internal/core/renting.go
+++ b/internal/core/renting.go
@@ -67,7 +67,7 @@
 		return
 	}
 	l.rentAt = l.now.Mono
-	p := l.newRentalPlan()
+	p := l.newRentalPlan(left)
 	p.cover(left)
 	p.coverNextService()
 	p.coverSpare()
@@ -75,7 +75,7 @@
 }
 
 // newRentalPlan counts what there is and what is on its way.
-func (l *Leader) newRentalPlan() *rentalPlan {
+func (l *Leader) newRentalPlan(left []unplaced) *rentalPlan {
 	p := &rentalPlan{l: l, perZone: map[string]int{}, orders: map[offer]int{}}
 	late := l.lateBoots()
 	for _, m := range l.sorted() {
@@ -87,7 +87,7 @@
 			p.coming = append(p.coming, newSlot(m.mt, m.zone, m.spot))
 		}
 	}
-	p.coming = append(p.coming, l.unheardRoom(false)...)
+	p.coming = append(p.coming, l.unheardRoom(leastOf(left))...)
 	for _, name := range slices.Sorted(maps.Keys(l.rentals)) {
 		p.expect(l.rentals[name])
 	}
--- a/internal/guards/recovery_test.go
+++ b/internal/guards/recovery_test.go
@@ -47,7 +47,7 @@
 	{
 		meeting: "work waits while machines with room have yet to report: rentals",
 		file:    "internal/core/renting.go",
-		cut:     "p.coming = append(p.coming, l.unheardRoom(false)...)",
+		cut:     "p.coming = append(p.coming, l.unheardRoom(leastOf(left))...)",
 		put:     "",
 		test:    "internal/core:^TestNothingIsRentedOrStoppedForUnheardRoom$",
 	},
