Recovery: a new leader's start costs what it did

Cause: on 7.2% of a core with 2,250 machines, a new leader looked at all recorded attempts for work that is over, and built a difference for each confirmed one.

--- a/internal/core/batch.go
+++ b/internal/core/batch.go
@@ -313,6 +313,9 @@
 	l.attach(a)
 	a.class = recovery.MissingUnproven
 	l.recovery.ExpectAttempt(m.name)
+	if j == nil || j.cancelled {
+		l.obsolete = append(l.obsolete, a)
+	}
 }
 
 // batchWriter fills a batch up to a size.
--- a/internal/core/leader.go
+++ b/internal/core/leader.go
@@ -93,7 +93,8 @@
 
 	failures []Failure
 	recovery *recovery.Reconciler
-	rounds   uint64 // of placement
+	rounds   uint64     // of placement
+	obsolete []*attempt // recorded ones whose job is over or cancelled, until they are stopped
 
 	nextID   uint64
 	nextTry  uint64
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -99,6 +99,11 @@
 	if verdict.Class == recovery.MissingUnproven {
 		return
 	}
+	if verdict.Class == recovery.Confirmed {
+		a.class = recovery.Confirmed
+		l.recovery.Confirmed(l.now.Mono, a.m.name)
+		return
+	}
 	l.found(a, verdict, true)
 	if verdict.Action == recovery.Stop {
 		l.stop(a, false, verdict.Class.String())
@@ -137,11 +142,13 @@
 // ended, or has a cancellation that the last leader did not see through. No watch tells of
 // these again.
 func (l *Leader) stopObsolete() {
-	for _, m := range l.sorted() {
-		for _, a := range m.list() {
+	sortAttempts(l.obsolete)
+	for _, a := range l.obsolete {
+		if a.m.tasks[a.ref] == a {
 			l.judgeRecorded(a, recovery.Unheard)
 		}
 	}
+	l.obsolete = nil
 }
 
 // found hands a verdict to the recovery, if the attempt is from before the term.
--- a/internal/recovery/reconciler.go
+++ b/internal/recovery/reconciler.go
@@ -170,13 +170,23 @@
 	if d.Class == Unrecorded {
 		r.incomplete = true
 	}
-	if d.Class != Confirmed {
-		r.keep(d)
-	}
+	r.keep(d)
 	r.Advance(now)
 	return true
 }
 
+// Confirmed takes note that a recorded attempt was reported: as Found would, without a
+// difference to keep. That is most of them, and thousands come in the seconds in which a
+// new leader has most to do.
+func (r *Reconciler) Confirmed(now time.Duration, machine string) {
+	r.close(machine)
+	r.counts[MissingUnproven]--
+	r.counts[Confirmed]++
+	if r.open == 0 {
+		r.Advance(now)
+	}
+}
+
 // Plan takes note of the orders that a difference leads to, for an attempt that is found
 // only later.
 func (r *Reconciler) Plan(d Difference) {
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -103,6 +103,10 @@
 			continue
 		}
 		delete(open, a)
+		if v.Class == Confirmed {
+			r.Confirmed(now, a.Machine)
+			continue
+		}
 		if !r.Found(now, Difference{Attempt: a, Class: v.Class, Action: v.Action, Recorded: e.Recorded}) {
 			continue
 		}
