A refused body's answer is not overtaken by a reset

A connection that is closed with part of a body unread is reset, and the reset may discard the answer on its way. Change: such a connection is read on for half a second at the most, without a place of those that bound work. TestRefusalOfALargeBodyArrives fails without it after a few requests.

--- a/internal/guards/load_test.go
+++ b/internal/guards/load_test.go
@@ -73,4 +73,11 @@
 		put:     "c.limit.N = 1 << 30",
 		test:    "internal/httpd:^TestWhatKeepsAndEndsAConnection$/a_head_without_end",
 	},
+	{
+		meeting: "a refused client still sends its body, and a reset overtakes the answer",
+		file:    httpConnFile,
+		cut:     "if c.unread {",
+		put:     "if false {",
+		test:    "internal/httpd:^TestRefusalOfALargeBodyArrives$",
+	},
 }
--- a/internal/httpd/conn.go
+++ b/internal/httpd/conn.go
@@ -24,6 +24,7 @@
 	limit  io.LimitedReader // bounds what is read of the present request
 	in     *bufio.Reader
 	idle   atomic.Bool // between two requests
+	unread bool        // something of the last request was not read
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -47,6 +48,18 @@
 	defer c.recover()
 	for c.await() && c.request() {
 	}
+	if c.unread {
+		c.linger()
+	}
+}
+
+// linger reads what the client still sends, for a moment. A connection that is closed with
+// something unread is reset, and the reset may overtake the answer: the client would not
+// learn why it was refused.
+func (c *conn) linger() {
+	if c.net.SetReadDeadline(time.Now().Add(tuning.LingerFor)) == nil {
+		_, _ = io.CopyN(io.Discard, c.net, tuning.RequestBytes)
+	}
 }
 
 func (c *conn) recover() {
@@ -92,7 +105,8 @@
 	w := newResponse()
 	defer w.free()
 	c.server.handler.ServeHTTP(w, req)
-	more := !req.Close && !w.closes() && drained(req.Body)
+	c.unread = !drained(req.Body)
+	more := !req.Close && !w.closes() && !c.unread
 	if err := c.net.SetWriteDeadline(time.Now().Add(tuning.BodyTimeout)); err != nil {
 		return false
 	}
@@ -133,6 +147,7 @@
 	case errors.Is(err, io.EOF), errors.As(err, &ne):
 		return
 	}
+	c.unread = true
 	_ = c.net.SetWriteDeadline(time.Now().Add(tuning.BodyTimeout))
 	_, _ = fmt.Fprintf(c.net, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", status, http.StatusText(status))
 }
--- a/internal/httpd/server_test.go
+++ b/internal/httpd/server_test.go
@@ -170,6 +170,24 @@
 }
 
 // A client that waits for leave to send its body gets it; HEAD gets no body.
+// A client that still sends its body when it is refused gets the answer: no reset
+// overtakes it.
+func TestRefusalOfALargeBodyArrives(t *testing.T) {
+	server := run(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusRequestEntityTooLarge) }, always)
+	url := "http://" + server.addr
+	body := make([]byte, 150<<10)
+	for i := range 100 {
+		resp, err := http.Post(url, "application/cbor", bytes.NewReader(body))
+		if err != nil {
+			t.Fatalf("after %d: %v", i, err)
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusRequestEntityTooLarge {
+			t.Fatalf("after %d: %s", i, resp.Status)
+		}
+	}
+}
+
 func TestContinueAndHead(t *testing.T) {
 	r := run(t, echoBody, always)
 	c := r.dial(t)
--- a/internal/tuning/node.go
+++ b/internal/tuning/node.go
@@ -134,6 +134,9 @@
 	// DrainBytes is how much of a body that its handler left is read to keep the
 	// connection; after more it is closed.
 	DrainBytes = 4 << 10
+	// LingerFor is how long a connection that is closed with something unread is read on,
+	// so that its reset does not overtake the answer.
+	LingerFor = 500 * time.Millisecond
 	// PooledBytes bounds the buffers that are kept for the next answer.
 	PooledBytes = 16 << 10
 	// HeaderTimeout and BodyTimeout bound how long a slow client may take.
