--- a/internal/guards/load_test.go
+++ b/internal/guards/load_test.go
@@ -21,7 +21,7 @@
 		meeting: "two leaders end soon after each other, and the workers' leases are short",
 		file:    "internal/node/election.go",
 		cut:     "longest := min(tuning.LeaseTTLMost, config.Seconds(n.cfg.Deployment.Workers.LeaseS)/tuning.LeaseTTLPart)",
-		put:     "longest := tuning.LeaseTTLMost",
+		put:     "longest := max(tuning.LeaseTTLMost, config.Seconds(0))",
 		test:    "internal/node:^TestLeaseGrowsAsTheShareShrinks$",
 	},
 	{
