Log and count why users' requests are not answered locally

An incident report said that queries about accepted jobs went unanswered, and no log line of the program could have told why: a request that was refused or not decided left a line at debug level only, a failed ping none, and reads of the jobs none. Controllers now count users' requests by kind and outcome (metric user_requests_total), log the counts of unanswered ones at most every ten seconds with what the answers depended on, and log full reads of jobs and records, changes of health, and peers that stop answering pings. Behaviour is unchanged.

--- a/cmd/yarrowgap/queries.go
+++ b/cmd/yarrowgap/queries.go
@@ -125,12 +125,18 @@
 
 func printMetrics(w io.Writer, metrics map[string]any) {
 	for _, name := range slices.Sorted(maps.Keys(metrics)) {
-		latency, ok := metrics[name].(map[string]any)
-		if !ok {
+		fields, isMap := metrics[name].(map[string]any)
+		_, isLatency := fields["p50_ms"]
+		switch {
+		case !isMap:
 			fmt.Fprintf(w, "%s\t%v\n", name, metrics[name])
-			continue
+		case isLatency:
+			fmt.Fprintf(w, "%s\tp50 %v ms, p99 %v ms, max %v ms (of %v)\n",
+				name, fields["p50_ms"], fields["p99_ms"], fields["max_ms"], fields["count"])
+		default:
+			for _, key := range slices.Sorted(maps.Keys(fields)) {
+				fmt.Fprintf(w, "%s\t%s\t%v\n", name, key, fields[key])
+			}
 		}
-		fmt.Fprintf(w, "%s\tp50 %v ms, p99 %v ms, max %v ms (of %v)\n",
-			name, latency["p50_ms"], latency["p99_ms"], latency["max_ms"], latency["count"])
 	}
 }
--- a/internal/controller/admission.go
+++ b/internal/controller/admission.go
@@ -25,27 +25,27 @@
 	}
 }
 
-// admitSubmission reserves a slot for a submission until release is called. ok is false if the
-// submission must be refused.
-func (a *admission) admitSubmission() (release func(), ok bool) {
+// admitSubmission reserves a slot for a submission until release is called. If the submission must
+// be refused, release is nil and refusal says why.
+func (a *admission) admitSubmission() (release func(), refusal requestOutcome) {
 	return a.admit(a.submissionSlots, tuning.MaxSubmissionTickLag)
 }
 
-// admitQueryOrCancel reserves a slot for a query or a cancellation until release is called. ok is
-// false if the request must be refused.
-func (a *admission) admitQueryOrCancel() (release func(), ok bool) {
+// admitQueryOrCancel reserves a slot for a query or a cancellation until release is called. If the
+// request must be refused, release is nil and refusal says why.
+func (a *admission) admitQueryOrCancel() (release func(), refusal requestOutcome) {
 	return a.admit(a.queryAndCancelSlots, tuning.MaxQueryAndCancelTickLag)
 }
 
 // admit reserves one of the slots, unless all are taken or the process lags by more than maxLag.
-func (a *admission) admit(slots chan struct{}, maxLag time.Duration) (release func(), ok bool) {
+func (a *admission) admit(slots chan struct{}, maxLag time.Duration) (release func(), refusal requestOutcome) {
 	if max(time.Duration(a.tickLag.Load()), a.requestBacklog()) > maxLag {
-		return nil, false
+		return nil, outcomeRefusedLag
 	}
 	select {
 	case slots <- struct{}{}:
-		return func() { <-slots }, true
+		return func() { <-slots }, ""
 	default:
-		return nil, false
+		return nil, outcomeRefusedSlots
 	}
 }
--- a/internal/controller/cancel.go
+++ b/internal/controller/cancel.go
@@ -18,8 +18,9 @@
 	if !wire.ValidJobID(id) {
 		return jobNotFoundAnswer
 	}
-	release, ok := c.admission.admitQueryOrCancel()
-	if !ok {
+	release, refusal := c.admission.admitQueryOrCancel()
+	if release == nil {
+		c.requestCounts.add(peer.KindCancel, refusal)
 		return overloadedAnswer
 	}
 	defer release()
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,7 +21,8 @@
 // take the lock briefly for reads and for changes that need no action of the scheduler:
 // election and leaderTerm (leadership), leaderWatch and pinger (peers), jobSync (the replica),
 // machineTypeSource, executor (the scheduler's calls), and userRequest, submission and jobReader
-// (users' requests). replicaRefresher and admission have their own synchronization.
+// (users' requests). replicaRefresher, admission and requestCounts have their own
+// synchronization.
 //
 // # Goroutines
 //
@@ -79,6 +80,7 @@
 
 	jobSync         *jobSync
 	admission       admission
+	requestCounts   *requestCounts
 	workerCallSlots chan struct{} // limits concurrent calls to workers
 	// shortfallLogThreshold is the number of machines above which settings that are too small
 	// for the fleet are logged again. Only pollMachineList uses it, and only one call of
@@ -97,6 +99,7 @@
 		replication:     replication{replica: scheduler.NewReplica()},
 		metrics:         newMetrics(),
 		admission:       newAdmission(),
+		requestCounts:   newRequestCounts(),
 		workerCallSlots: make(chan struct{}, maxConcurrentWorkerCalls(cfg)),
 	}
 	c.membership = newMembership(cfg.Peers, c.store.UnavailableFor)
@@ -123,6 +126,7 @@
 	loops.Go(func() { c.jobSync.run(ctx) })
 	loops.Go(func() { c.runTicker(ctx) })
 	loops.Go(func() { newLeaderWatch(c).run(ctx) })
+	loops.Go(func() { (&requestReporter{controller: c}).run(ctx) })
 	loops.Wait()
 }
 
@@ -133,7 +137,12 @@
 func (c *Controller) Healthy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.membership.isolated()
+	isolated := c.membership.isolated()
+	if isolated != c.membership.reportedIsolated {
+		c.membership.reportedIsolated = isolated
+		c.log.Info("health changed", "healthy", !isolated, "store_unavailable_ms", c.membership.storeUnavailableFor().Milliseconds())
+	}
+	return !isolated
 }
 
 // now returns the time for the scheduler: monotonic time since New, and wall-clock time.
--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -30,7 +30,7 @@
 // forwards the request unless a peer forwarded it here. If no peer serves it either, the answer
 // is unavailableAnswer, which asks the user to retry later.
 func (r userRequest) forwardOrRefuse(cause error) Answer {
-	r.logNotServedLocally(cause)
+	r.recordNotServedLocally(cause)
 	if r.origin == FromUser {
 		if answer, ok := r.controller.forward(r.forwardRequest); ok {
 			return answer
@@ -39,7 +39,8 @@
 	return unavailableAnswer
 }
 
-func (r userRequest) logNotServedLocally(cause error) {
+func (r userRequest) recordNotServedLocally(cause error) {
+	r.controller.requestCounts.add(r.forwardRequest.Kind, undecidedOutcome(cause))
 	r.controller.log.Debug("request not decided here", "kind", string(r.forwardRequest.Kind), "job", r.forwardRequest.ID, "err", cause)
 }
 
@@ -51,15 +52,21 @@
 	c.mu.Lock()
 	targets := c.membership.forwardTargets()
 	c.mu.Unlock()
+	if len(targets) == 0 {
+		c.requestCounts.add(request.Kind, outcomeNoPeerReachable)
+		return Answer{}, false
+	}
 	for _, target := range targets {
 		reply, err := c.peerClient.Forward(context.Background(), target.Addr, request, tuning.ForwardTimeout)
 		if err == nil && reply.Status != http.StatusServiceUnavailable && reply.Status != http.StatusTooManyRequests {
+			c.requestCounts.add(request.Kind, outcomeAnsweredByPeer)
 			return Answer{Status: reply.Status, View: reply.View, State: reply.State, Error: reply.Error}, true
 		}
 		c.mu.Lock()
 		target.declinedAt = time.Now()
 		c.mu.Unlock()
 	}
+	c.requestCounts.add(request.Kind, outcomeNoPeerAnswered)
 	return Answer{}, false
 }
 
--- a/internal/controller/load.go
+++ b/internal/controller/load.go
@@ -21,6 +21,7 @@
 	jobs           []wire.KeyValue
 	revision       uint64    // store revision at which the read of jobs began
 	readAt         time.Time // when the reads began
+	pages          int       // number of pages read
 }
 
 // assignments returns the assignment records of both layouts: the batches, and the records by
@@ -48,15 +49,17 @@
 func readRecords(ctx context.Context, store *kvstore.Client) (*storedRecords, error) {
 	stored := &storedRecords{readAt: time.Now()}
 	var errs [4]error
-	read := func(prefix string) ([]wire.KeyValue, uint64, error) {
-		return store.RangeAll(ctx, kvstore.PriorityLeader, prefix)
-	}
+	var results [4]kvstore.FullRange
 	var reads sync.WaitGroup
-	reads.Go(func() { stored.bitmaps, _, errs[0] = read(records.BitmapPrefix) })
-	reads.Go(func() { stored.batches, _, errs[1] = read(records.BatchPrefix) })
-	reads.Go(func() { stored.legacyMachines, _, errs[2] = read(records.LegacyMachinePrefix) })
-	reads.Go(func() { stored.jobs, stored.revision, errs[3] = read(records.LiveJobPrefix) })
+	for i, prefix := range [...]string{records.BitmapPrefix, records.BatchPrefix, records.LegacyMachinePrefix, records.LiveJobPrefix} {
+		reads.Go(func() { results[i], errs[i] = store.RangeAll(ctx, kvstore.PriorityLeader, prefix) })
+	}
 	reads.Wait()
+	stored.bitmaps, stored.batches, stored.legacyMachines = results[0].Items, results[1].Items, results[2].Items
+	stored.jobs, stored.revision = results[3].Items, results[3].Revision
+	for _, result := range results {
+		stored.pages += result.Pages
+	}
 	return stored, errors.Join(errs[:]...)
 }
 
@@ -73,6 +76,8 @@
 		}
 		c.replication.markCaughtUp(stored.readAt)
 		assignments := stored.assignments()
+		c.log.Info("records read", "term", t.number, "revision", stored.revision, "pages", stored.pages,
+			"jobs", len(stored.jobs), "batches", len(stored.batches), "took_ms", time.Since(stored.readAt).Milliseconds())
 		sched = scheduler.New(c.now(), c.schedulerSettings(), t.number, c.replication.replica, stored.bitmaps, assignments, c.machineTypes)
 		t.seedScheduler(sched)
 		c.tracer.RecordsLoaded(t.number, c.leadership.loadingSince, time.Now(), len(stored.jobs), len(assignments))
--- a/internal/controller/machine_types.go
+++ b/internal/controller/machine_types.go
@@ -88,13 +88,13 @@
 // readCopy reads the copy in the store. If that fails it returns nil: the machine types stay
 // unknown, and the next fetch tries again.
 func (s *machineTypeSource) readCopy(ctx context.Context) []wire.MachineType {
-	items, _, err := s.store.RangeAll(ctx, kvstore.PriorityUser, records.MachineTypePrefix)
+	stored, err := s.store.RangeAll(ctx, kvstore.PriorityUser, records.MachineTypePrefix)
 	if err != nil {
 		logCallFailure(s.log, "stored machine types not read", err)
 		return nil
 	}
 	var types []wire.MachineType
-	for _, item := range items {
+	for _, item := range stored.Items {
 		var machineType wire.MachineType
 		if err := wire.Unmarshal(item.Value, &machineType); err != nil || machineType.Name == "" {
 			s.log.Error("stored machine type unreadable", "key", item.Key)
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -16,6 +16,8 @@
 	// storeUnavailableFor returns how long the key-value store has not served this controller; 0
 	// if it served the last request. It needs no lock.
 	storeUnavailableFor func() time.Duration
+	// reportedIsolated is whether the last health check found this controller isolated.
+	reportedIsolated bool
 }
 
 // peerState is what a controller knows about one peer. Guarded by Controller.mu, except for the
--- a/internal/controller/pings.go
+++ b/internal/controller/pings.go
@@ -20,7 +20,7 @@
 func (c *Controller) pingPeers(ctx context.Context) {
 	var loops sync.WaitGroup
 	for _, p := range c.membership.peers {
-		loops.Go(func() { pinger{c, p}.run(ctx) })
+		loops.Go(func() { (&pinger{controller: c, peer: p}).run(ctx) })
 	}
 	loops.Wait()
 }
@@ -29,18 +29,20 @@
 type pinger struct {
 	controller *Controller
 	peer       *peerState
+	failing    bool // whether the peer did not answer the last ping
 }
 
-func (p pinger) run(ctx context.Context) {
+func (p *pinger) run(ctx context.Context) {
 	for sleep(ctx, jitter(tuning.PeerPingInterval)) {
 		p.pingOnce(ctx)
 	}
 }
 
-func (p pinger) pingOnce(ctx context.Context) {
+func (p *pinger) pingOnce(ctx context.Context) {
 	c := p.controller
 	ping, sentAt := p.newPing()
 	pong, err := c.peerClient.Ping(ctx, p.peer.Addr, ping)
+	p.logPingResult(err)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		c.update(func() { p.peer.connectionRefusedAt = time.Now() })
@@ -49,7 +51,22 @@
 	}
 }
 
-func (p pinger) newPing() (ping peer.Ping, sentAt time.Time) {
+// logPingResult logs the first failed ping of a peer, and the first one that the peer answers
+// again.
+func (p *pinger) logPingResult(err error) {
+	failing := err != nil
+	if failing == p.failing {
+		return
+	}
+	p.failing = failing
+	if failing {
+		p.controller.log.Info("peer does not answer pings", "peer", p.peer.Name, "err", err)
+	} else {
+		p.controller.log.Info("peer answers pings again", "peer", p.peer.Name)
+	}
+}
+
+func (p *pinger) newPing() (ping peer.Ping, sentAt time.Time) {
 	c := p.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -63,7 +80,7 @@
 }
 
 // handlePong applies the answer to a ping that was sent at sentAt. Called with the lock held.
-func (p pinger) handlePong(pong peer.Pong, sentAt time.Time) {
+func (p *pinger) handlePong(pong peer.Pong, sentAt time.Time) {
 	c := p.controller
 	p.peer.recordPong(pong, sentAt)
 	if c.leadership.leading() && c.leadership.survivedFailover(p.peer.processStartedAt, config.Seconds(c.cfg.Deployment.Workers.LeaseS)) {
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -19,8 +19,9 @@
 	if !wire.ValidJobID(id) {
 		return jobNotFoundAnswer
 	}
-	release, ok := c.admission.admitQueryOrCancel()
-	if !ok {
+	release, refusal := c.admission.admitQueryOrCancel()
+	if release == nil {
+		c.requestCounts.add(peer.KindQuery, refusal)
 		return overloadedAnswer
 	}
 	defer release()
@@ -31,8 +32,10 @@
 	case err != nil:
 		return userRequest{c, peer.ForwardRequest{Kind: peer.KindQuery, ID: id}, origin}.forwardOrRefuse(err)
 	case !found:
+		c.requestCounts.add(peer.KindQuery, outcomeAnswered)
 		return jobNotFoundAnswer
 	}
+	c.requestCounts.add(peer.KindQuery, outcomeAnswered)
 	return Answer{Status: http.StatusOK, View: &view}
 }
 
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -137,18 +137,19 @@
 func (s *jobSync) reload(ctx context.Context) error {
 	c := s.controller
 	sentAt := time.Now()
-	items, revision, err := c.store.RangeAll(ctx, kvstore.PriorityUser, records.LiveJobPrefix)
+	jobs, err := c.store.RangeAll(ctx, kvstore.PriorityUser, records.LiveJobPrefix)
 	if err != nil {
 		return err
 	}
+	c.log.Info("jobs reloaded", "revision", jobs.Revision, "jobs", len(jobs.Items), "pages", jobs.Pages, "took_ms", time.Since(sentAt).Milliseconds())
 	c.update(func() {
 		//mutation:full-read-order
-		if revision < c.replication.replica.Revision {
+		if jobs.Revision < c.replication.replica.Revision {
 			return
 		}
 		c.updateCancellationWatermark()
 		c.replication.markCaughtUp(sentAt)
-		logUnreadableRecords(c.log, c.replication.replica.Reset(items, revision))
+		logUnreadableRecords(c.log, c.replication.replica.Reset(jobs.Items, jobs.Revision))
 		if c.leadership.leading() {
 			c.leadership.scheduler.DropPendingCancellationsBefore(sentAt.Sub(c.startedAt))
 			c.leadership.scheduler.JobsReset(c.now(), c.replication.replica)
--- /dev/null
+++ b/internal/controller/request_outcomes.go
@@ -0,0 +1,120 @@
+package controller
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/kvstore"
+	"github.com/yarrowgap/yarrowgap/internal/peer"
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+)
+
+// requestOutcome says how this controller dealt with a user's request, for metrics and the log.
+type requestOutcome string
+
+// Outcomes of users' requests. Each request that is not answered locally has the outcome that says
+// why, and if it was forwarded also one that says whether a peer answered it.
+const (
+	outcomeAnswered         requestOutcome = "answered"
+	outcomeAnsweredByPeer   requestOutcome = "answered by a peer"
+	outcomeNoPeerAnswered   requestOutcome = "no peer answered"
+	outcomeNoPeerReachable  requestOutcome = "no peer to forward to"
+	outcomeRefusedLag       requestOutcome = "refused: process lags"
+	outcomeRefusedSlots     requestOutcome = "refused: too many in progress"
+	outcomeStoreTimeout     requestOutcome = "key-value store: no answer in time"
+	outcomeStoreRateLimited requestOutcome = "key-value store: rate limit"
+	outcomeStoreUnavailable requestOutcome = "key-value store: unavailable"
+	outcomeStoreUnknown     requestOutcome = "key-value store: answer lost"
+	outcomeUndecided        requestOutcome = "undecided for another reason"
+)
+
+// undecidedOutcome returns the outcome of a request that this controller could not decide for the
+// given cause.
+func undecidedOutcome(cause error) requestOutcome {
+	switch {
+	case errors.Is(cause, context.DeadlineExceeded):
+		return outcomeStoreTimeout
+	case errors.Is(cause, kvstore.ErrRateLimited):
+		return outcomeStoreRateLimited
+	case errors.Is(cause, kvstore.ErrUnavailable):
+		return outcomeStoreUnavailable
+	case errors.Is(cause, kvstore.ErrOutcomeUnknown):
+		return outcomeStoreUnknown
+	}
+	return outcomeUndecided
+}
+
+// requestCounts counts users' requests by kind and outcome. It is safe for concurrent use.
+type requestCounts struct {
+	mu     sync.Mutex
+	counts map[string]uint64 // by "kind: outcome"
+	// unanswered counts the requests with an outcome other than outcomeAnswered.
+	unanswered uint64
+}
+
+func newRequestCounts() *requestCounts { return &requestCounts{counts: map[string]uint64{}} }
+
+func (r *requestCounts) add(kind peer.RequestKind, outcome requestOutcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[string(kind)+": "+string(outcome)]++
+	if outcome != outcomeAnswered {
+		r.unanswered++
+	}
+}
+
+// snapshot returns a copy of the counts, and the number of requests not answered locally.
+func (r *requestCounts) snapshot() (counts map[string]uint64, unanswered uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.counts), r.unanswered
+}
+
+// requestReporter logs at intervals how many users' requests were not answered locally, and why.
+// It runs in one goroutine, without the lock.
+type requestReporter struct {
+	controller         *Controller
+	reported           map[string]uint64
+	reportedUnanswered uint64
+}
+
+// run logs a line for each interval in which there were such requests, until ctx ends.
+func (r *requestReporter) run(ctx context.Context) {
+	for sleep(ctx, tuning.RequestReportInterval) {
+		r.report()
+	}
+}
+
+func (r *requestReporter) report() {
+	c := r.controller
+	counts, unanswered := c.requestCounts.snapshot()
+	if unanswered != r.reportedUnanswered {
+		c.log.Info("user requests not answered locally", r.attributes(counts)...)
+	}
+	r.reported, r.reportedUnanswered = counts, unanswered
+}
+
+// attributes returns the counts since the last report, and what the answers depended on.
+func (r *requestReporter) attributes(counts map[string]uint64) []any {
+	c := r.controller
+	increases := map[string]uint64{}
+	for name, count := range counts {
+		if count > r.reported[name] {
+			increases[name] = count - r.reported[name]
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return []any{
+		"counts", increases,
+		"leader", c.membership.leader.name, "term", c.membership.leader.term,
+		"jobs_revision", c.replication.replica.Revision,
+		"jobs_age_ms", time.Since(c.replication.caughtUpAt).Milliseconds(),
+		"store_unavailable_ms", c.store.UnavailableFor().Milliseconds(),
+		"tick_lag_ms", time.Duration(c.admission.tickLag.Load()).Milliseconds(),
+		"backlog_ms", c.admission.requestBacklog().Milliseconds(),
+	}
+}
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -15,8 +15,9 @@
 
 // Submit handles POST /v2/runs, which submits a job.
 func (c *Controller) Submit(ctx context.Context, body []byte, origin Origin) Answer {
-	release, ok := c.admission.admitSubmission()
-	if !ok {
+	release, refusal := c.admission.admitSubmission()
+	if release == nil {
+		c.requestCounts.add(peer.KindSubmit, refusal)
 		return overloadedAnswer
 	}
 	defer release()
@@ -191,7 +192,7 @@
 	case errors.Is(err, kvstore.ErrConflict):
 		return s.answerExistingJob(ctx)
 	case s.forwarded:
-		s.request.logNotServedLocally(err)
+		s.request.recordNotServedLocally(err)
 		return unavailableAnswer
 	}
 	return s.request.forwardOrRefuse(err)
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -153,6 +153,8 @@
 	Differences                   uint64         `json:"recovery_differences_total"`
 	StartToAck                    LatencySummary `json:"start_to_ack"`
 	SubmitToAnswer                LatencySummary `json:"submit_to_answer"`
+	// UserRequests counts users' requests by "kind: outcome".
+	UserRequests map[string]uint64 `json:"user_requests_total"`
 }
 
 // MetricsView returns the metrics of this process.
@@ -160,6 +162,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	counters := c.metrics.endedTermCounters
+	userRequests, _ := c.requestCounts.snapshot()
 	if c.leadership.leading() {
 		addCounters(&counters, c.leadership.scheduler.Counters())
 	}
@@ -177,5 +180,6 @@
 		Differences:                   counters.Differences,
 		StartToAck:                    summarize(c.metrics.startToAck),
 		SubmitToAnswer:                summarize(c.metrics.submitToAnswer),
+		UserRequests:                  userRequests,
 	}
 }
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -146,21 +146,30 @@
 	return reply, nil
 }
 
-// RangeAll returns all keys that start with prefix. It returns the revision of the first page, so
-// that a watch from that revision misses no change made while later pages were read.
-func (c *Client) RangeAll(ctx context.Context, priority Priority, prefix string) (items []wire.KeyValue, revision uint64, err error) {
+// FullRange is the result of RangeAll. Revision is that of the first page, so that a watch from it
+// misses no change made while later pages were read.
+type FullRange struct {
+	Items    []wire.KeyValue
+	Revision uint64
+	Pages    int
+}
+
+// RangeAll returns all keys that start with prefix.
+func (c *Client) RangeAll(ctx context.Context, priority Priority, prefix string) (FullRange, error) {
+	var result FullRange
 	afterKey := ""
 	for {
 		page, err := c.Range(ctx, priority, prefix, afterKey, tuning.StorePageSize)
 		if err != nil {
-			return nil, 0, err
+			return FullRange{Pages: result.Pages}, err
 		}
 		if afterKey == "" {
-			revision = page.Revision
+			result.Revision = page.Revision
 		}
-		items = append(items, page.Items...)
+		result.Pages++
+		result.Items = append(result.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
-			return items, revision, nil
+			return result, nil
 		}
 		afterKey = page.Items[len(page.Items)-1].Key
 	}
--- a/internal/tuning/controller.go
+++ b/internal/tuning/controller.go
@@ -16,6 +16,9 @@
 	ScanIntervalPerMachine = 50 * time.Microsecond
 	// LoadLogInterval is the interval of the debug message about the cluster's load.
 	LoadLogInterval = 10 * time.Second
+	// RequestReportInterval is the interval of the message that counts users' requests that a
+	// controller did not answer itself.
+	RequestReportInterval = 10 * time.Second
 	// ReferenceCPUShare is the share of a core that the intervals of placement, scans and
 	// scale-out are intended for. With a smaller share they are longer in proportion.
 	ReferenceCPUShare = 0.2
