Leader's lease and status probes by the fleet, not by the processor share alone

Trace: a leader every three to five seconds, each deposed by its expired lease while thousands of workers connected to it ('process paused', then 'another leader holds the key'); its successor got the same load.

Cause: a fixed bound that work outgrows. The lease outlasts a takeover, and probes are spaced, only below 0.2 of a core, whatever the number of machines. That suited two thousand machines at that share; the load of a takeover grows with the machines.

Now the share counts in relation to the fleet (EffectiveCPUShare): above ReferenceFleet machines, as many as a leader with 0.2 of a core takes over within its lease less one renewal, it is reduced in proportion. The lease and the probes go by that; both bounds of the lease stay. Controllers learn the size of the fleet from the leader's pings and answers, in a field that earlier builds ignore. Up to 2,266 machines nothing changes.

With the reduction taken out, TestLeaderLeaseOutlastsFailoverLoad and TestStatusProbesOfLargeFleetAreNotSentAtOnce (256 machines probed at once) fail.

--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -7,6 +7,7 @@
 	"github.com/yarrowgap/yarrowgap/internal/config"
 	"github.com/yarrowgap/yarrowgap/internal/kvstore"
 	"github.com/yarrowgap/yarrowgap/internal/records"
+	"github.com/yarrowgap/yarrowgap/internal/scheduler"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -63,7 +64,7 @@
 	if _, err := c.store.Watch(ctx, kvstore.PriorityLeader, records.LeaderPrefix, modRevision, tuning.WatchTimeout); err != nil {
 		// The key may be older than the changes that the store keeps, or the store may be
 		// failing. Reading the key again after a pause is right in both cases.
-		sleep(ctx, jitter(leaderLeaseTTL(c.cfg)/2))
+		sleep(ctx, jitter(e.leaseTTL()/2))
 	}
 }
 
@@ -95,24 +96,33 @@
 // lost or ctx ends, and returns true.
 func (e election) tryToLead(ctx context.Context) bool {
 	c := e.controller
-	leaseRequestedAt := time.Now()
+	leaseRequestedAt, leaseTTL := time.Now(), e.leaseTTL()
 	self := candidate{store: c.store, record: records.Leader{Node: c.cfg.Node, Addr: c.cfg.PeerAddr, BootID: c.bootID}}
-	revision, leaseID, err := self.acquire(ctx, leaderLeaseTTL(c.cfg))
+	revision, leaseID, err := self.acquire(ctx, leaseTTL)
 	if err != nil {
 		logCallFailure(c.log, "leadership not acquired", err)
 		return false
 	}
-	term := &leaderTerm{controller: c, number: revision, leaseID: leaseID, leaseRequestedAt: leaseRequestedAt, lost: make(chan struct{})}
+	term := &leaderTerm{controller: c, number: revision, leaseID: leaseID, leaseTTL: leaseTTL, leaseRequestedAt: leaseRequestedAt, lost: make(chan struct{})}
 	term.serve(ctx)
 	return true
 }
 
-// leaderLeaseTTL returns the TTL of the leader's lease. It grows as the CPU share of the process
-// falls below ReferenceCPUShare, up to MaxLeaderLeaseTTL and 1/WorkerLeaseDivisor of the workers'
-// lease. Safety does not depend on the TTL, which determines only how long there is no leader
-// after a leader has failed.
-func leaderLeaseTTL(cfg *config.Settings) time.Duration {
-	cpuShare := cfg.Deployment.Quota.CPUShare
+// leaseTTL returns the TTL of the lease that this controller requests as the leader.
+func (e election) leaseTTL() time.Duration {
+	c := e.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return leaderLeaseTTL(c.cfg, c.membership.fleetSize)
+}
+
+// leaderLeaseTTL returns the TTL of the lease of a leader of the given number of machines; 0 if that
+// is unknown. The TTL grows as the effective CPU share of the process falls below
+// ReferenceCPUShare, up to MaxLeaderLeaseTTL and 1/WorkerLeaseDivisor of the workers' lease. Safety
+// does not depend on the TTL, which determines only how long there is no leader after a leader has
+// failed.
+func leaderLeaseTTL(cfg *config.Settings, machines int) time.Duration {
+	cpuShare := scheduler.EffectiveCPUShare(cfg.Deployment.Quota.CPUShare, machines)
 	if cpuShare <= 0 || cpuShare >= tuning.ReferenceCPUShare {
 		return tuning.LeaderLeaseTTL
 	}
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -87,6 +87,7 @@
 // leads.
 func (c *Controller) endTerm() {
 	c.metrics.addTerm(c.leadership.scheduler.Counters())
+	c.servedMachines()
 	c.leadership.scheduler = nil
 	c.membership.leader.name = ""
 	c.tracer.TermEnded(time.Now())
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -16,6 +16,8 @@
 	// storeUnavailableFor returns how long the key-value store has not served this controller; 0
 	// if it served the last request. It needs no lock.
 	storeUnavailableFor func() time.Duration
+	// fleetSize is the number of machines that the latest known leader served; 0 if unknown.
+	fleetSize int
 	// reportedIsolated is whether the last health check found this controller isolated.
 	reportedIsolated bool
 }
@@ -118,8 +120,17 @@
 	return targets
 }
 
+// recordFleetSize records the number of machines that a leader serves. Controllers that do not lead
+// report 0, which is ignored.
+func (m *membership) recordFleetSize(machines int) {
+	if machines > 0 {
+		m.fleetSize = machines
+	}
+}
+
 // recordPing records that a peer sent a ping.
 func (m *membership) recordPing(ping peer.Ping) {
+	m.recordFleetSize(ping.Machines)
 	if sender := m.peers[ping.Node]; sender != nil {
 		sender.lastContactAt, sender.storeAvailable = time.Now(), ping.StoreAvailable
 	}
--- a/internal/controller/pings.go
+++ b/internal/controller/pings.go
@@ -72,7 +72,8 @@
 	defer c.mu.Unlock()
 	sentAt = time.Now()
 	return peer.Ping{
-		Node: c.cfg.Node, BootID: c.bootID,
+		Machines: c.servedMachines(),
+		Node:     c.cfg.Node, BootID: c.bootID,
 		Leader: c.membership.leader.name, Term: c.membership.leader.term,
 		StoreAvailable:    c.membership.storeAvailable(),
 		ConfirmationsSeen: p.peer.confirmations.receivedCount, ConfirmationsBootID: p.peer.confirmations.bootID,
@@ -83,6 +84,7 @@
 func (p *pinger) handlePong(pong peer.Pong, sentAt time.Time) {
 	c := p.controller
 	p.peer.recordPong(pong, sentAt)
+	c.membership.recordFleetSize(pong.Machines)
 	if c.leadership.leading() && c.leadership.survivedFailover(p.peer.processStartedAt, config.Seconds(c.cfg.Deployment.Workers.LeaseS)) {
 		c.leadership.scheduler.ControllerSurvived()
 	}
@@ -99,6 +101,17 @@
 	}
 }
 
+// servedMachines returns the number of machines that this controller serves as the leader, and
+// records it; 0 if it does not lead. Called with the lock held.
+func (c *Controller) servedMachines() int {
+	if !c.leadership.leading() {
+		return 0
+	}
+	machines := c.leadership.scheduler.View().MachineCount()
+	c.membership.recordFleetSize(machines)
+	return machines
+}
+
 // HandlePing answers a peer's ping.
 func (c *Controller) HandlePing(ping peer.Ping) peer.Pong {
 	var pong peer.Pong
@@ -117,6 +130,7 @@
 		Leader: c.membership.leader.name, Term: c.membership.leader.term,
 		StoreAvailable: c.membership.storeAvailable(),
 		IsLeader:       c.leadership.leading(),
+		Machines:       c.servedMachines(),
 		UptimeMilli:    1 + time.Since(c.startedAt).Milliseconds(),
 	}
 	if c.leadership.leading() {
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -18,6 +18,7 @@
 	controller       *Controller
 	number           uint64 // the modification revision of the leader's key
 	leaseID          uint64 // ID of the lease that the leader's key is attached to
+	leaseTTL         time.Duration
 	leaseRequestedAt time.Time
 	// lost is closed when the leadership is lost. It is closed with Controller.mu held.
 	lost chan struct{}
@@ -69,7 +70,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leadership.leaseID = t.leaseID
-	c.leadership.leaseHeldUntil = t.leaseRequestedAt.Add(leaderLeaseTTL(c.cfg))
+	c.leadership.leaseHeldUntil = t.leaseRequestedAt.Add(t.leaseTTL)
 	c.leadership.electedAt = t.leaseRequestedAt
 	c.setLeader(c.cfg.Node, t.number)
 }
@@ -115,7 +116,7 @@
 		if c.leadership.leaseID != t.leaseID {
 			return
 		}
-		c.leadership.leaseHeldUntil = sentAt.Add(leaderLeaseTTL(c.cfg))
+		c.leadership.leaseHeldUntil = sentAt.Add(t.leaseTTL)
 		if c.leadership.leading() {
 			c.leadership.scheduler.ExtendLease(c.leadership.leaseHeldUntil.Sub(c.startedAt))
 		}
--- a/internal/mutation/load_test.go
+++ b/internal/mutation/load_test.go
@@ -12,13 +12,19 @@
 		scenario: "all workers come to a new leader whose processor share is small",
 		marker:   "leader-lease-by-share",
 		operator: keepArgument(0, 2),
-		test:     "internal/controller:^TestLeaderLeaseGrowsAsCPUShareShrinks$",
+		test:     "internal/controller:^TestLeaderLeaseOutlastsFailoverLoad$",
+	},
+	{
+		scenario: "all of several thousand workers come to a new leader whose processor share suffices for a thousand",
+		marker:   "cpu-share-by-fleet",
+		operator: keepArgument(0, 2),
+		test:     "internal/controller:^TestLeaderLeaseOutlastsFailoverLoad$",
 	},
 	{
 		scenario: "two leaders fail soon after each other, and the workers' leases are short",
 		marker:   "leader-lease-bound",
 		operator: keepArgument(0, 2),
-		test:     "internal/controller:^TestLeaderLeaseGrowsAsCPUShareShrinks$",
+		test:     "internal/controller:^TestLeaderLeaseOutlastsFailoverLoad$",
 	},
 	{
 		scenario: "a new leader with a small processor share probes thousands of machines",
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,9 @@
 	// list; ConfirmationsBootID identifies the process.
 	ConfirmationsSeen   uint64 `cbor:"have,omitempty"`
 	ConfirmationsBootID uint64 `cbor:"have_boot,omitempty"`
+	// Machines is the number of machines that the sender serves as the leader. Other controllers
+	// send 0.
+	Machines int `cbor:"machines,omitempty"`
 }
 
 // Pong is the response to a Ping.
@@ -65,6 +68,9 @@
 	// of the sender's list of confirmed cancellations.
 	ConfirmedFrom uint64   `cbor:"from,omitempty"`
 	Confirmed     []string `cbor:"told,omitempty"`
+	// Machines is the number of machines that the sender serves as the leader. Other controllers
+	// send 0.
+	Machines int `cbor:"machines,omitempty"`
 }
 
 // RequestKind is the kind of a forwarded request.
--- a/internal/scheduler/statusprobe.go
+++ b/internal/scheduler/statusprobe.go
@@ -13,7 +13,7 @@
 // costs a connection, and a new leader has thousands of machines to probe.
 type statusProbeLimiter struct {
 	inFlight int
-	budget   tokenBucket // rate limit; used only if isCPULimited
+	budget   tokenBucket // rate limit; used only if isTakeoverCPULimited
 	// firstPostponed is the first machine whose probe was postponed since the last scan began; empty
 	// if there is none. The next scan begins with it, so that every machine gets its turn.
 	firstPostponed string
@@ -40,11 +40,11 @@
 	if m.phase != machineUp || m.address == "" || m.directCalls.inFlight || d.isDue(m) {
 		return // a call that is in flight or due brings a heartbeat as well
 	}
-	if d.probedRecently(m) || d.heartbeatExpectedSoon(m) {
+	if d.probedRecently(m) || d.heartbeatExpectedSoon(m, fleetSize) {
 		return
 	}
 	probes := &d.probes
-	if probes.inFlight >= d.statusProbeLimit(m, fleetSize) || !d.takeProbeBudget() {
+	if probes.inFlight >= d.statusProbeLimit(m, fleetSize) || !d.takeProbeBudget(fleetSize) {
 		probes.postpone(m)
 		return
 	}
@@ -72,10 +72,10 @@
 }
 
 // takeProbeBudget takes one probe from the rate budget and reports whether there was one. The
-// rate is limited only if the process has a small CPU share.
-func (d *dispatcher) takeProbeBudget() bool {
+// rate is limited only if the process has a small CPU share for its fleet.
+func (d *dispatcher) takeProbeBudget(fleetSize int) bool {
 	//mutation:status-probe-budget
-	if !d.isCPULimited() {
+	if !d.isTakeoverCPULimited(fleetSize) {
 		return true
 	}
 	budget := &d.probes.budget
@@ -83,18 +83,12 @@
 	return budget.take(1)
 }
 
-// isCPULimited reports whether the process has so small a share of a core that deferrable work
-// is spread over time.
-func (c *termContext) isCPULimited() bool {
-	return c.settings.CPUShare > 0 && c.settings.CPUShare < tuning.ReferenceCPUShare
-}
-
 // heartbeatExpectedSoon reports whether the machine's next heartbeat is expected before a probe
 // would help: its last one has just been answered with a fencing token that is new to the
 // worker, which makes it send the next one early. Probes are saved this way only if the process
-// has a small CPU share.
-func (d *dispatcher) heartbeatExpectedSoon(m *machine) bool {
+// has a small CPU share for its fleet.
+func (d *dispatcher) heartbeatExpectedSoon(m *machine, fleetSize int) bool {
 	answeredAt := m.connectivity.heartbeatRepliedAt
 	//mutation:no-status-probe-before-heartbeat
-	return d.isCPULimited() && answeredAt > 0 && m.fencing.highestSeenToken < d.fencingToken(m) && d.now.Mono-answeredAt < tuning.StatusProbeHoldOff
+	return d.isTakeoverCPULimited(fleetSize) && answeredAt > 0 && m.fencing.highestSeenToken < d.fencingToken(m) && d.now.Mono-answeredAt < tuning.StatusProbeHoldOff
 }
--- a/internal/scheduler/statusprobe_test.go
+++ b/internal/scheduler/statusprobe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -62,6 +63,18 @@
 	}
 }
 
+// A CPU share that is ample for a thousand machines is small for several thousand.
+func TestStatusProbesOfLargeFleetAreNotSentAtOnce(t *testing.T) {
+	f := newFleetHarness(t, int(math.Ceil(tuning.ReferenceFleet))+1)
+	f.cpuShare = tuning.ReferenceCPUShare
+	f.startTerm(60)
+	f.statusProbeCount = 0
+	f.settle()
+	if f.statusProbeCount > tuning.MinConcurrentStatusProbes {
+		t.Errorf("%d machines probed at once", f.statusProbeCount)
+	}
+}
+
 // With a small CPU share, a new leader of hundreds of machines probes them no faster than the
 // share allows, but reaches all of them in time.
 func TestStatusProbesAreSpacedByCPUShare(t *testing.T) {
--- a/internal/scheduler/tick.go
+++ b/internal/scheduler/tick.go
@@ -96,17 +96,6 @@
 	return tuning.MinPlacementInterval + p.scaleByCPUShare(time.Duration(machineCount)*tuning.PlacementIntervalPerMachine)
 }
 
-// scaleByCPUShare lengthens an interval for a process that has less than the
-// tuning.ReferenceCPUShare of a core that the interval is meant for. Without that, such a
-// process would spend all of its time on placement rounds while hundreds of jobs wait, and fall
-// behind with heartbeats, so that machines stay idle although jobs wait for them.
-func (c *termContext) scaleByCPUShare(interval time.Duration) time.Duration {
-	if c.isCPULimited() {
-		return time.Duration(float64(interval) * tuning.ReferenceCPUShare / c.settings.CPUShare)
-	}
-	return interval
-}
-
 // endExpiredBackoffs ends the backoff of jobs whose retry time after a failed attempt has come,
 // and makes a placement round due for them.
 func (p *placementState) endExpiredBackoffs() {
--- a/internal/scheduler/views.go
+++ b/internal/scheduler/views.go
@@ -38,6 +38,9 @@
 // View returns a view of the current state. It is valid until the next input.
 func (s *Scheduler) View() View { return View{&s.cluster, s.reconciler.Reconciler} }
 
+// MachineCount returns the number of machines, whatever their state.
+func (v View) MachineCount() int { return len(v.cluster.machines) }
+
 // RunningTasks returns the number of running tasks by job ID, without jobs that have none.
 func (v View) RunningTasks() map[string]int {
 	running := map[string]int{}
--- a/internal/tuning/leadership.go
+++ b/internal/tuning/leadership.go
@@ -18,6 +18,11 @@
 	// to no less than LeaderLeaseTTL. If two leaders fail shortly after each other, workers get no
 	// answer for two leader leases and two elections, and their tasks must survive that.
 	WorkerLeaseDivisor = 4
+	// ReferenceFleet is the number of machines whose first heartbeats a new leader with
+	// ReferenceCPUShare of a core handles in the part of LeaderLeaseTTL that a renewal leaves.
+	// For a larger fleet the CPU share counts as smaller in proportion, see EffectiveCPUShare in
+	// package scheduler.
+	ReferenceFleet = float64(LeaderLeaseTTL-LeaseRenewInterval) / float64(HeartbeatCPUCost) * ReferenceCPUShare
 	// LeaseRenewInterval is the renewal interval: about a third of LeaderLeaseTTL, so that one
 	// lost renewal and one late renewal do not cost the leadership.
 	LeaseRenewInterval = 800 * time.Millisecond
