A leader that refuses connections keeps its lease

Callers saw: a running leader without a free socket lost its lease to a peer, again and again; each time all workers moved to the next leader.

Cause: an action on wrong knowledge. A revocation needs a broken connection, two refusals and an answer of another peer. A connection that could not be opened counted as broken too, so that a refusal gave two of the three signs. Neither a leader's lack of sockets nor this process's own shows that the leader has ended.

Now only a connection that was open and broke is a sign; it stays one for that term until a connection is open again, so that the end of a process is still noticed at once. TestRefusedConnectionIsNoBrokenConnection fails without the condition.

A leader that learns of the end of its lease while that is certainly held reports a violated invariant, in the log and in the metric invariant_violations_total, and steps down as before.

--- a/internal/controller/leader_watch.go
+++ b/internal/controller/leader_watch.go
@@ -24,6 +24,8 @@
 	controller    *Controller
 	prober        peerProber
 	lastRevokedAt time.Time
+	// brokenTerm is the term of the leader whose connection broke last; 0 if it has been open since.
+	brokenTerm uint64
 }
 
 func newLeaderWatch(c *Controller) *leaderWatch {
@@ -37,7 +39,7 @@
 func (w *leaderWatch) run(ctx context.Context) {
 	for sleep(ctx, tuning.PeerWatchRetryDelay) {
 		leader, leaderPeer := w.knownLeader()
-		if leaderPeer == nil || leader.leaseID == 0 || !w.connectionBroke(ctx, leaderPeer) {
+		if leaderPeer == nil || leader.leaseID == 0 || !w.connectionBroke(ctx, leader, leaderPeer) {
 			continue
 		}
 		if time.Since(w.lastRevokedAt) >= tuning.MinLeaderRevocationInterval && w.processEnded(ctx, leaderPeer) && w.claimRevocation(leader) {
@@ -55,11 +57,21 @@
 }
 
 // connectionBroke sends the leader a request that it leaves unanswered for PeerWatchTimeout, and
-// reports whether the request failed before that time.
-func (w *leaderWatch) connectionBroke(ctx context.Context, leader *peerState) bool {
+// reports whether a connection to the leader of that term broke, now or when it was last open. A
+// connection that could not be opened shows nothing by itself: the leader or this process may have
+// no free socket.
+func (w *leaderWatch) connectionBroke(ctx context.Context, leader leaderInfo, leaderPeer *peerState) bool {
 	startedAt := time.Now()
-	err := w.controller.peerClient.WatchProcess(ctx, leader.Addr)
-	return err != nil && time.Since(startedAt) < tuning.PeerWatchTimeout
+	err := w.controller.peerClient.WatchProcess(ctx, leaderPeer.Addr)
+	//mutation:watch-needs-connection
+	if errors.Is(err, peer.ErrNotConnected) {
+		return w.brokenTerm == leader.term
+	}
+	w.brokenTerm = 0
+	if err != nil && time.Since(startedAt) < tuning.PeerWatchTimeout {
+		w.brokenTerm = leader.term
+	}
+	return w.brokenTerm == leader.term
 }
 
 // processEnded reports whether the leader refuses connections while another peer answers.
--- a/internal/controller/leadership.go
+++ b/internal/controller/leadership.go
@@ -58,6 +58,11 @@
 	stepDownLaterTerm       stepDownReason = "a peer knows the leader of a later term"
 )
 
+// showsNextLeader reports whether the reason is that another leader has been elected.
+func (r stepDownReason) showsNextLeader() bool {
+	return r == stepDownLaterTerm || r == stepDownReason(scheduler.ResignLeaderKeyLost)
+}
+
 // resign ends the term at the scheduler's request. Called with the lock held.
 func (c *Controller) resign(sched *scheduler.Scheduler, reason stepDownReason) {
 	if !c.stepDown(sched, reason) {
@@ -78,6 +83,9 @@
 		return false
 	}
 	c.log.Info("leader stepped down", "term", c.membership.leader.term, "reason", string(reason))
+	if reason.showsNextLeader() {
+		c.assertLeaseEnded(c.membership.leader.term, string(reason))
+	}
 	c.cancellations.advanceEnforcedUntil(c.enforcedCancellationWatermark())
 	c.endTerm()
 	return true
--- a/internal/controller/metrics.go
+++ b/internal/controller/metrics.go
@@ -18,9 +18,10 @@
 // metrics are the counters and latency histograms that are kept after a term ends. Guarded by
 // Controller.mu.
 type metrics struct {
-	endedTermCounters scheduler.Counters // totals of the ended terms of this controller
-	startToAck        *hdrhistogram.Histogram
-	submitToAnswer    *hdrhistogram.Histogram
+	endedTermCounters   scheduler.Counters // totals of the ended terms of this controller
+	startToAck          *hdrhistogram.Histogram
+	submitToAnswer      *hdrhistogram.Histogram
+	invariantViolations uint64
 }
 
 func newMetrics() metrics {
--- a/internal/controller/term.go
+++ b/internal/controller/term.go
@@ -132,6 +132,7 @@
 	case t.isLost():
 	case c.leadership.leading():
 		c.log.Info("leadership lost: lease expired", "term", t.number)
+		c.assertLeaseEnded(t.number, "lease not found")
 		c.endTerm()
 	default:
 		close(t.lost)
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -154,7 +154,8 @@
 	StartToAck                    LatencySummary `json:"start_to_ack"`
 	SubmitToAnswer                LatencySummary `json:"submit_to_answer"`
 	// UserRequests counts users' requests by "kind: outcome".
-	UserRequests map[string]uint64 `json:"user_requests_total"`
+	UserRequests        map[string]uint64 `json:"user_requests_total"`
+	InvariantViolations uint64            `json:"invariant_violations_total"`
 }
 
 // MetricsView returns the metrics of this process.
@@ -181,5 +182,6 @@
 		StartToAck:                    summarize(c.metrics.startToAck),
 		SubmitToAnswer:                summarize(c.metrics.submitToAnswer),
 		UserRequests:                  userRequests,
+		InvariantViolations:           c.metrics.invariantViolations,
 	}
 }
--- a/internal/mutation/load_test.go
+++ b/internal/mutation/load_test.go
@@ -20,6 +20,12 @@
 		operator: keepArgument(0, 2),
 		test:     "internal/controller:^TestLeaderLeaseOutlastsFailoverLoad$",
 	},
+	{
+		scenario: "a leader that has no free socket refuses its peers' connections",
+		marker:   "watch-needs-connection",
+		operator: setCondition(false),
+		test:     "internal/controller:^TestRefusedConnectionIsNoBrokenConnection$",
+	},
 	{
 		scenario: "two leaders fail soon after each other, and the workers' leases are short",
 		marker:   "leader-lease-bound",
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -26,6 +27,9 @@
 // ErrUnexpectedResponse means that a peer's response does not conform to the protocol.
 var ErrUnexpectedResponse = errors.New("unexpected response from peer")
 
+// ErrNotConnected means that no connection to a peer could be opened.
+var ErrNotConnected = errors.New("not connected to peer")
+
 // Ping identifies its sender and the leader that the sender knows of.
 type Ping struct {
 	Node   string `cbor:"node"`
@@ -131,11 +135,16 @@
 }
 
 // WatchProcess sends a request that the peer answers only after tuning.PeerWatchTimeout. If the
-// peer's process ends earlier, the connection breaks and WatchProcess returns an error at once.
+// peer's process ends earlier, the connection breaks and WatchProcess returns an error at once. If
+// no connection could be opened, the error wraps ErrNotConnected.
 func (c *Client) WatchProcess(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithTimeout(ctx, tuning.PeerWatchTimeout+tuning.PeerTimeout)
 	defer cancel()
 	if _, err := c.rpc.Call(ctx, http.MethodPost, "http://"+addr+WatchProcessPath, struct{}{}, nil); err != nil {
+		var opError *net.OpError
+		if errors.As(err, &opError) && opError.Op == "dial" {
+			err = errors.Join(ErrNotConnected, err)
+		}
 		return fmt.Errorf("watch process of %s: %w", addr, err)
 	}
 	return nil
