--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -13,15 +13,15 @@
 	if err != nil {
 		return err
 	}
-	return h.answerUser(c, h.controller.Submit(c.Request().Context(), body, false))
+	return h.answerUser(c, h.controller.Submit(c.Request().Context(), body, controller.FromUser))
 }
 
 func (h *handlers) query(c echo.Context) error {
-	return h.answerUser(c, h.controller.Query(c.Request().Context(), c.Param("id"), false))
+	return h.answerUser(c, h.controller.Query(c.Request().Context(), c.Param("id"), controller.FromUser))
 }
 
 func (h *handlers) cancel(c echo.Context) error {
-	return h.answerUser(c, h.controller.Cancel(c.Request().Context(), c.Param("id"), false))
+	return h.answerUser(c, h.controller.Cancel(c.Request().Context(), c.Param("id"), controller.FromUser))
 }
 
 func (h *handlers) answerUser(c echo.Context, answer controller.Answer) error {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -13,7 +13,6 @@
 // newTestController creates a controller with the example settings. It logs nothing, and its loops
 // do not run.
 func newTestController(t *testing.T) *Controller {
-	t.Helper()
 	t.Helper()
 	b, err := os.ReadFile("../../examples/local.toml")
 	if err != nil {
--- a/internal/controller/queries_test.go
+++ b/internal/controller/queries_test.go
@@ -23,7 +23,6 @@
 // only after a receive from proceed, which may be closed. received gets an element for each such
 // request when it has been executed.
 func newControllerWithStore(t *testing.T, holdBack func(*http.Request) bool) (c *Controller, client *kvstore.Client, received, proceed chan struct{}) {
-	t.Helper()
 	t.Helper()
 	deployment := simulator.NewDeployment(simulator.DeploymentConfig{HeartbeatInterval: time.Second, LeaseDuration: time.Second})
 	storeHandler := deployment.KVStoreHandler()
