--- a/internal/simulator/http.go
+++ b/internal/simulator/http.go
@@ -37,8 +37,8 @@
 	return wire.Unmarshal(encoded, message)
 }
 
-// sleep waits for a duration and returns true, or returns false once the context ends.
-func sleep(ctx context.Context, d time.Duration) bool {
+// Sleep waits for a duration and returns true, or returns false once the context ends.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	select {
 	case <-ctx.Done():
 		return false
--- a/internal/simulator/worker_agent.go
+++ b/internal/simulator/worker_agent.go
@@ -40,7 +40,7 @@
 // run waits for the machine to boot, then serves direct commands and sends heartbeats until the
 // machine is terminated or the context ends.
 func (a *workerAgent) run(ctx context.Context, listener net.Listener) {
-	if !sleep(ctx, a.deployment.config.BootTime) {
+	if !Sleep(ctx, a.deployment.config.BootTime) {
 		return
 	}
 	mux := http.NewServeMux()
@@ -220,7 +220,7 @@
 func (a *workerAgent) awaitNextHeartbeat(ctx context.Context, delay time.Duration) bool {
 	deadline := time.Now().Add(delay)
 	for time.Now().Before(deadline) {
-		if !sleep(ctx, agentAdvanceStep) {
+		if !Sleep(ctx, agentAdvanceStep) {
 			return false
 		}
 		if a.advance() {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -71,7 +71,7 @@
 			}
 		}
 		endings = remaining
-		if !sleep(ctx, faultTick) {
+		if !simulator.Sleep(ctx, faultTick) {
 			return ctx.Err()
 		}
 	}
@@ -289,13 +289,3 @@
 	}
 	return json.NewDecoder(response.Body).Decode(&view) == nil && view.Leading
 }
-
-// sleep waits for d and returns true. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -129,7 +129,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, faultTick) {
+		if !simulator.Sleep(ctx, faultTick) {
 			return ctx.Err()
 		}
 	}
@@ -137,7 +137,7 @@
 }
 
 func (r *run) checkMachines(ctx context.Context) {
-	for sleep(ctx, checkInterval) {
+	for simulator.Sleep(ctx, checkInterval) {
 		r.cluster.simulation.CheckMachines()
 	}
 }
@@ -159,7 +159,7 @@
 			return
 		}
 		r.users.queryPending(ctx, rng)
-		if !sleep(ctx, checkInterval) {
+		if !simulator.Sleep(ctx, checkInterval) {
 			return
 		}
 	}
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -63,7 +63,7 @@
 
 // run sends requests of one user until ctx ends.
 func (u *users) run(ctx context.Context, rng *rand.Rand) {
-	for sleep(ctx, time.Duration(rng.ExpFloat64()*float64(userInterval))) {
+	for simulator.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(userInterval))) {
 		u.sendRandom(ctx, rng)
 	}
 }
