Soak: controllers listen on a loopback address of their own

The port had been free when the run chose it, and a simulated machine of this or another run took it before the controller listened. A fault of the harness, not of the controllers. Each run now has an address of the loopback range for its controllers; all other sockets are on 127.0.0.1.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -48,13 +49,10 @@
 // newCluster starts the simulated services and prepares the controllers.
 func newCluster(ctx context.Context, config Config) (*cluster, error) {
 	c := &cluster{config: config, client: &http.Client{Timeout: userTimeout}}
-	ports, err := freePorts(2 * config.Controllers)
-	if err != nil {
-		return nil, err
-	}
-	userAddrs, peerAddrs := ports[:config.Controllers], ports[config.Controllers:]
-	c.userAddrs = userAddrs
-	if err = c.linkWorkers(); err != nil {
+	addrs := controllerAddrs(2 * config.Controllers)
+	peerAddrs := addrs[config.Controllers:]
+	c.userAddrs = addrs[:config.Controllers]
+	if err := c.linkWorkers(); err != nil {
 		return nil, err
 	}
 	cloudAddr, err := c.startServices(ctx)
@@ -62,7 +60,7 @@
 		return nil, err
 	}
 	for i := range config.Controllers {
-		if err = c.addController(i, peerAddrs, cloudAddr); err != nil {
+		if err := c.addController(i, peerAddrs, cloudAddr); err != nil {
 			return nil, err
 		}
 	}
@@ -204,16 +202,17 @@
 
 func controllerName(i int) string { return fmt.Sprintf("drover-%d", i) }
 
-// freePorts returns loopback addresses with ports that are free now.
-func freePorts(count int) ([]string, error) {
+// firstControllerPort is the port of the first listener of a controller.
+const firstControllerPort = 8080
+
+// controllerAddrs returns the addresses of the controllers' listeners, on a random address of the
+// loopback range: the ports must stay free while controllers do not run, and all other listeners
+// and connections use 127.0.0.1.
+func controllerAddrs(count int) []string {
+	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)) //nolint:gosec // no secret
 	var addrs []string
-	for range count {
-		listener, err := simulator.ListenLoopback()
-		if err != nil {
-			return nil, err
-		}
-		defer listener.Close()
-		addrs = append(addrs, listener.Addr().String())
+	for i := range count {
+		addrs = append(addrs, fmt.Sprintf("%s:%d", ip, firstControllerPort+i))
 	}
-	return addrs, nil
+	return addrs
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -96,6 +96,14 @@
 	}
 }
 
+func TestControllerAddressesAreNoEphemeralPorts(t *testing.T) {
+	for _, addr := range controllerAddrs(2) {
+		if strings.HasPrefix(addr, "127.0.") {
+			t.Errorf("%s shares its address with other listeners", addr)
+		}
+	}
+}
+
 func TestProcessThatEndsByItselfIsReported(t *testing.T) {
 	p := &process{name: "drover-0", binary: "/bin/false", logPath: filepath.Join(t.TempDir(), "log")}
 	if err := p.start(context.Background()); err != nil {
