Count health checks, refused connections and jobs without answers

Users reported that queries about accepted jobs went unanswered, without logs. What a load balancer sees of a controller was neither logged nor counted: health checks that come too late, connections that are refused because the limit is reached. Nor was how long a single job goes unanswered, which total counts of failed requests hide.

Each process now counts health checks by their answer and those that came after the load balancer's time-out, refused connections, and the longest time for which all queries about one job failed. A line at intervals tells them while there are any. No change of behaviour.

--- a/cmd/yarrowgap/listen.go
+++ b/cmd/yarrowgap/listen.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yarrowgap/yarrowgap/internal/controller"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
@@ -24,6 +25,7 @@
 	net.Listener
 	maxConns  int64
 	openConns atomic.Int64
+	refused   atomic.Int64 // connections over the limit, since the start
 }
 
 func newLimitedListener(listener net.Listener, maxConns int) *limitedListener {
@@ -35,6 +37,11 @@
 	return float64(l.openConns.Load()) > tuning.ListenerHighWatermark*float64(l.maxConns)
 }
 
+// counts returns the connections that are open, and those that were refused since the start.
+func (l *limitedListener) counts() controller.ConnectionCounts {
+	return controller.ConnectionCounts{Open: l.openConns.Load(), Limit: l.maxConns, Refused: l.refused.Load()}
+}
+
 // Accept waits for a connection and returns it. It closes connections over the limit and continues
 // to wait.
 func (l *limitedListener) Accept() (net.Conn, error) {
@@ -48,6 +55,7 @@
 			return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { l.openConns.Add(-1) })}, nil
 		}
 		l.openConns.Add(-1)
+		l.refused.Add(1)
 		_ = conn.SetDeadline(time.Now())
 		_ = conn.Close()
 	}
--- a/cmd/yarrowgap/serve.go
+++ b/cmd/yarrowgap/serve.go
@@ -115,6 +115,8 @@
 		controllerDone: make(chan struct{}),
 	}
 	ctl.SetRequestBacklog(p.userServer.QueueDelay)
+	ctl.SetConnectionCounts(listeners.users.counts)
+	p.userServer.SetObserver(api.ObserveHealthChecks(ctl))
 	go serve(p.userServer, listeners.users, p.serverErrors)
 	go serve(p.peerServer, listeners.peers, p.serverErrors)
 	go func() {
--- a/internal/api/workers.go
+++ b/internal/api/workers.go
@@ -2,9 +2,12 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
+	"github.com/yarrowgap/yarrowgap/internal/controller"
+	"github.com/yarrowgap/yarrowgap/internal/httpserver"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
@@ -15,6 +18,15 @@
 	return c.NoContent(http.StatusOK)
 }
 
+// ObserveHealthChecks returns an observer of requests that counts health checks at the controller.
+func ObserveHealthChecks(c *controller.Controller) httpserver.Observer {
+	return func(request *http.Request, status int, duration time.Duration) {
+		if request.URL.Path == healthPath {
+			c.HealthCheckAnswered(status, duration)
+		}
+	}
+}
+
 func (h *handlers) heartbeat(c echo.Context) error {
 	body, err := readBody(c)
 	if err != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,8 +21,8 @@
 // take the lock briefly for reads and for changes that need no action of the scheduler:
 // election and leaderTerm (leadership), leaderWatch and pinger (peers), jobSync (the replica),
 // machineTypeSource, executor (the scheduler's calls), and userRequest, submission and jobReader
-// (users' requests). replicaRefresher, admission and requestCounts have their own
-// synchronization.
+// (users' requests). replicaRefresher, admission, requestCounts, healthCheckCounts and queryGaps
+// have their own synchronization.
 //
 // # Goroutines
 //
@@ -81,6 +81,9 @@
 	jobSync         *jobSync
 	admission       admission
 	requestCounts   *requestCounts
+	healthChecks    *healthCheckCounts
+	queryGaps       *queryGaps
+	connections     func() ConnectionCounts
 	workerCallSlots chan struct{} // limits concurrent calls to workers
 	// shortfallLogThreshold is the number of machines above which settings that are too small
 	// for the fleet are logged again. Only pollMachineList uses it, and only one call of
@@ -100,6 +103,9 @@
 		metrics:         newMetrics(),
 		admission:       newAdmission(),
 		requestCounts:   newRequestCounts(),
+		healthChecks:    &healthCheckCounts{},
+		queryGaps:       newQueryGaps(),
+		connections:     func() ConnectionCounts { return ConnectionCounts{} },
 		workerCallSlots: make(chan struct{}, maxConcurrentWorkerCalls(cfg)),
 	}
 	c.membership = newMembership(cfg.Peers, c.store.UnavailableFor)
@@ -113,6 +119,10 @@
 	c.admission.requestBacklog = backlog
 }
 
+// SetConnectionCounts sets the function that counts the connections of users and workers. It must be
+// called before Run.
+func (c *Controller) SetConnectionCounts(counts func() ConnectionCounts) { c.connections = counts }
+
 // SetTracer sets the tracer that records spans. It must be called before Run.
 func (c *Controller) SetTracer(tracer *tracing.Tracer) { c.tracer = tracer }
 
--- a/internal/controller/golden_test.go
+++ b/internal/controller/golden_test.go
@@ -13,6 +13,9 @@
 		"leader":  &LeaderView{},
 		"latency": &LatencySummary{},
 		"metrics": &Metrics{},
+
+		"connections":   &ConnectionCounts{},
+		"health_checks": &HealthCheckSummary{},
 	}
 	var all []any
 	for name, response := range responses {
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -19,6 +19,16 @@
 	if !wire.ValidJobID(id) {
 		return jobNotFoundAnswer
 	}
+	answer := c.answerQuery(ctx, id, origin)
+	if answer.Status == http.StatusServiceUnavailable {
+		c.queryGaps.failed(id, time.Now())
+	} else {
+		c.queryGaps.answered(id)
+	}
+	return answer
+}
+
+func (c *Controller) answerQuery(ctx context.Context, id string, origin Origin) Answer {
 	release, refusal := c.admission.admitQueryOrCancel()
 	if release == nil {
 		c.requestCounts.add(peer.KindQuery, refusal)
--- /dev/null
+++ b/internal/controller/query_gaps.go
@@ -0,0 +1,68 @@
+package controller
+
+import (
+	"sync"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+)
+
+// queryGaps measures for how long this controller has been asked about each job without answering.
+// It is safe for concurrent use.
+type queryGaps struct {
+	mu            sync.Mutex
+	byJob         map[string]queryGap
+	longestOfAll  time.Duration
+	longestRecent time.Duration // since takeRecent was last called
+}
+
+// queryGap is a time in which all queries about a job at this controller failed.
+type queryGap struct{ firstFailedAt, lastFailedAt time.Time }
+
+func newQueryGaps() *queryGaps { return &queryGaps{byJob: map[string]queryGap{}} }
+
+// answered records that a query about a job was answered.
+func (g *queryGaps) answered(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.byJob, id)
+}
+
+// failed records that a query about a job was not answered. A gap without a query for
+// tuning.QueryGapExpiry has ended: the users may have asked elsewhere.
+func (g *queryGaps) failed(id string, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	gap, known := g.byJob[id]
+	if !known && len(g.byJob) >= tuning.MaxQueryGaps {
+		return
+	}
+	if !known || now.Sub(gap.lastFailedAt) > tuning.QueryGapExpiry {
+		gap.firstFailedAt = now
+	}
+	gap.lastFailedAt = now
+	g.byJob[id] = gap
+	length := now.Sub(gap.firstFailedAt)
+	g.longestOfAll, g.longestRecent = max(g.longestOfAll, length), max(g.longestRecent, length)
+}
+
+// longest returns the longest gap of any job so far.
+func (g *queryGaps) longest() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.longestOfAll
+}
+
+// takeRecent returns the longest gap of any job since the last call, and forgets expired gaps.
+func (g *queryGaps) takeRecent(now time.Time) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, gap := range g.byJob {
+		if now.Sub(gap.lastFailedAt) > tuning.QueryGapExpiry {
+			delete(g.byJob, id)
+		}
+	}
+	recent := g.longestRecent
+	g.longestRecent = 0
+	return recent
+}
--- a/internal/controller/request_outcomes.go
+++ b/internal/controller/request_outcomes.go
@@ -73,21 +73,41 @@
 	return maps.Clone(r.counts), r.unanswered
 }
 
-// requestReporter logs at intervals how many users' requests were not answered locally, and why.
-// It runs in one goroutine, without the lock.
+// requestReporter logs at intervals how many users' requests were not answered locally, and why,
+// and what load balancers saw. It runs in one goroutine, without the lock.
 type requestReporter struct {
-	controller         *Controller
-	reported           map[string]uint64
-	reportedUnanswered uint64
+	controller          *Controller
+	reported            map[string]uint64
+	reportedUnanswered  uint64
+	reportedChecks      HealthCheckSummary
+	reportedConnections ConnectionCounts
 }
 
 // run logs a line for each interval in which there were such requests, until ctx ends.
 func (r *requestReporter) run(ctx context.Context) {
 	for sleep(ctx, tuning.RequestReportInterval) {
 		r.report()
+		r.reportHealthChecks()
 	}
 }
 
+// reportHealthChecks logs a line if a load balancer may have counted a health check as failed, or if
+// connections were refused, since the last report.
+func (r *requestReporter) reportHealthChecks() {
+	c := r.controller
+	checks, connections := c.healthChecks.summary(), c.connections()
+	last, lastConnections := r.reportedChecks, r.reportedConnections
+	r.reportedChecks, r.reportedConnections = checks, connections
+	late, unhealthy := checks.Late-last.Late, checks.Unhealthy-last.Unhealthy
+	refused := connections.Refused - lastConnections.Refused
+	if late == 0 && unhealthy == 0 && refused == 0 {
+		return
+	}
+	c.log.Info("health checks failed or connections refused",
+		"checks_ok", checks.Healthy-last.Healthy, "checks_unhealthy", unhealthy, "checks_late", late, "slowest_check_ms", checks.MaxMilli,
+		"connections", connections.Open, "connection_limit", connections.Limit, "refused", refused)
+}
+
 func (r *requestReporter) report() {
 	c := r.controller
 	counts, unanswered := c.requestCounts.snapshot()
@@ -109,7 +129,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return []any{
-		"counts", increases,
+		"counts", increases, "longest_unanswered_ms", c.queryGaps.takeRecent(time.Now()).Milliseconds(),
 		"leader", c.membership.leader.name, "term", c.membership.leader.term,
 		"jobs_revision", c.replication.replica.Revision,
 		"jobs_age_ms", time.Since(c.replication.caughtUpAt).Milliseconds(),
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -154,8 +154,14 @@
 	StartToAck                    LatencySummary `json:"start_to_ack"`
 	SubmitToAnswer                LatencySummary `json:"submit_to_answer"`
 	// UserRequests counts users' requests by "kind: outcome".
-	UserRequests        map[string]uint64 `json:"user_requests_total"`
-	InvariantViolations uint64            `json:"invariant_violations_total"`
+	UserRequests map[string]uint64 `json:"user_requests_total"`
+	// HealthChecks counts the checks of load balancers, and Connections those of users and workers.
+	HealthChecks HealthCheckSummary `json:"health_checks"`
+	Connections  ConnectionCounts   `json:"connections"`
+	// LongestUnansweredMilli is the longest time for which this controller was asked about a job
+	// without answering.
+	LongestUnansweredMilli int64  `json:"longest_unanswered_ms"`
+	InvariantViolations    uint64 `json:"invariant_violations_total"`
 }
 
 // MetricsView returns the metrics of this process.
@@ -182,6 +188,9 @@
 		StartToAck:                    summarize(c.metrics.startToAck),
 		SubmitToAnswer:                summarize(c.metrics.submitToAnswer),
 		UserRequests:                  userRequests,
+		HealthChecks:                  c.healthChecks.summary(),
+		Connections:                   c.connections(),
+		LongestUnansweredMilli:        c.queryGaps.longest().Milliseconds(),
 		InvariantViolations:           c.metrics.invariantViolations,
 	}
 }
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -96,6 +96,7 @@
 // serveRequest reads a request and sends the response. It reports whether the connection stays
 // open for another request.
 func (c *conn) serveRequest() bool {
+	arrivedAt := time.Now()
 	slot := c.server.acquireSlot()
 	defer slot.release()
 	request, err := c.readRequest()
@@ -110,6 +111,7 @@
 	response := acquireResponse()
 	defer response.release()
 	c.server.handler.ServeHTTP(response, request)
+	c.server.observe(request, response.status, time.Since(arrivedAt))
 	c.hasUnreadInput = !drainBody(request.Body)
 	keepAlive := !request.Close && !response.hasConnectionClose() && !c.hasUnreadInput
 	if !keepAlive {
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -27,6 +27,7 @@
 type Server struct {
 	handler     http.Handler
 	nonBlocking func(*http.Request) bool
+	observe     Observer
 	log         *slog.Logger
 
 	slots          chan struct{} // holds one element per slot in use
@@ -40,6 +41,10 @@
 	openConns sync.WaitGroup // counts conns
 }
 
+// Observer is told of each request whose handler has returned: the status of the response, and the
+// time since the first byte of the request arrived.
+type Observer func(request *http.Request, status int, duration time.Duration)
+
 // New returns a server. nonBlocking reports whether the handler processes a request without
 // waiting for anything. Such a request holds its slot until the response is sent; every other
 // request releases its slot once its header is read, before it is handled.
@@ -47,12 +52,16 @@
 	return &Server{
 		handler:     handler,
 		nonBlocking: nonBlocking,
+		observe:     func(*http.Request, int, time.Duration) {},
 		log:         log,
 		slots:       make(chan struct{}, tuning.MaxConcurrentRequests),
 		conns:       map[*conn]struct{}{},
 	}
 }
 
+// SetObserver sets the function that is told of each request. It must be called before Serve.
+func (s *Server) SetObserver(observe Observer) { s.observe = observe }
+
 // QueueDelay estimates how long a request that arrives now waits for a slot before it is read. It
 // returns the last measured wait, or 0 if nothing is waiting.
 func (s *Server) QueueDelay() time.Duration {
--- a/internal/tuning/controller.go
+++ b/internal/tuning/controller.go
@@ -67,6 +67,14 @@
 	// process that was paused in between reads the state again. Without a pause the answer
 	// takes far less.
 	MaxAnswerAge = 500 * time.Millisecond
+	// HealthCheckTimeout is set by the protocol: how long a load balancer waits for the answer to a
+	// health check.
+	HealthCheckTimeout = time.Second
+	// QueryGapExpiry is how long after the last failed query about a job the job no longer counts as
+	// unanswered. Users poll every 5 s.
+	QueryGapExpiry = 20 * time.Second
+	// MaxQueryGaps bounds the jobs for which unanswered queries are tracked, at about 100 bytes each.
+	MaxQueryGaps = 20000
 	// RetryAfterS is the delay after which refused users are asked to retry, in seconds.
 	RetryAfterS = 1
 	// MaxQueriesAndCancelsInFlight and MaxSubmissionsInFlight bound the users' requests that are
