Keep connections for health checks and queries; close those of workers near the limit

The load balancer removes such a controller, and for longer with each change of leader. The workers over the limit were never answered: they tried in turn, once a second and more, at all controllers.

Cause: users, workers and health checks share one pool of connections, and whoever connects first keeps one. A worker needs its connection for milliseconds in each heartbeat interval and held it all the time.

Fix: above nine tenths of the pool the connections of workers are closed after each answer, as those of users were, so that the number of machines is not bound by that of sockets. The last twentieth only serves connections that begin with a GET: health checks and queries.

--- a/cmd/yarrowgap/listen.go
+++ b/cmd/yarrowgap/listen.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/yarrowgap/yarrowgap/internal/api"
 	"github.com/yarrowgap/yarrowgap/internal/controller"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
@@ -19,22 +22,33 @@
 	return config.Listen(context.Background(), "tcp", addr)
 }
 
-// limitedListener limits the number of open connections. A connection over the limit is closed
-// immediately, so that its client can try another controller.
+// limitedListener limits the number of open connections and divides them among users, workers and
+// health checks. Near the limit, connections are not kept open between requests: first those of
+// users, then those of workers. The last connections are reserved for health checks and queries,
+// since a load balancer that cannot connect removes the controller. A connection over the limit is
+// closed immediately, so that its client can try another controller.
 type limitedListener struct {
 	net.Listener
-	maxConns  int64
+	maxConns  int64 // includes the reserved ones
+	reserved  int64
 	openConns atomic.Int64
 	refused   atomic.Int64 // connections over the limit, since the start
 }
 
 func newLimitedListener(listener net.Listener, maxConns int) *limitedListener {
-	return &limitedListener{Listener: listener, maxConns: int64(maxConns)}
+	reserved := max(1, int64(float64(maxConns)*tuning.ListenerReservedShare))
+	return &limitedListener{Listener: listener, maxConns: int64(maxConns), reserved: reserved}
 }
 
-// nearLimit reports whether the share of open connections is above the high watermark.
-func (l *limitedListener) nearLimit() bool {
-	return float64(l.openConns.Load()) > tuning.ListenerHighWatermark*float64(l.maxConns)
+// load reports which connections are not to be kept open.
+func (l *limitedListener) load() api.ConnectionLoad {
+	switch share := float64(l.openConns.Load()) / float64(l.maxConns); {
+	case share > tuning.WorkerConnsHighWatermark:
+		return api.CloseAllConnections
+	case share > tuning.ListenerHighWatermark:
+		return api.CloseUserConnections
+	}
+	return api.KeepConnections
 }
 
 // counts returns the connections that are open, and those that were refused since the start.
@@ -50,14 +64,18 @@
 		if err != nil {
 			return nil, err
 		}
+		open := l.openConns.Add(1)
+		limited := &limitedConn{Conn: conn, release: sync.OnceFunc(func() { l.openConns.Add(-1) })}
 		//mutation:connection-bound
-		if l.openConns.Add(1) <= l.maxConns {
-			return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { l.openConns.Add(-1) })}, nil
+		if open <= l.maxConns-l.reserved {
+			return limited, nil
+		}
+		if open <= l.maxConns {
+			return &reservedConn{limitedConn: limited, refused: &l.refused, firstReadBy: time.Now().Add(tuning.ReservedConnTimeout)}, nil
 		}
-		l.openConns.Add(-1)
 		l.refused.Add(1)
 		_ = conn.SetDeadline(time.Now())
-		_ = conn.Close()
+		_ = limited.Close()
 	}
 }
 
@@ -73,3 +91,42 @@
 	defer c.release()
 	return c.Conn.Close()
 }
+
+// errNotReserved is the error of reading from a reserved connection that is used for anything but a
+// health check or a query.
+var errNotReserved = errors.New("the connection is reserved for health checks and queries")
+
+// readOnlyMethod begins every health check and every query, and no request of a worker.
+var readOnlyMethod = []byte("GET ")
+
+// reservedConn is one of the connections that are reserved for health checks and queries. It can be
+// read only if its first request is one of these and arrives in time.
+type reservedConn struct {
+	*limitedConn
+	refused     *atomic.Int64
+	firstReadBy time.Time
+	admitted    bool // whether the first request has begun as required
+}
+
+// SetReadDeadline sets the deadline of reads, which is at most firstReadBy for the first one.
+func (c *reservedConn) SetReadDeadline(deadline time.Time) error {
+	if !c.admitted && deadline.After(c.firstReadBy) {
+		deadline = c.firstReadBy
+	}
+	return c.limitedConn.SetReadDeadline(deadline)
+}
+
+// Read reads from the connection, or refuses it by its first bytes.
+func (c *reservedConn) Read(b []byte) (int, error) {
+	n, err := c.limitedConn.Read(b)
+	if c.admitted || n == 0 {
+		return n, err
+	}
+	//mutation:reserved-connections
+	if !bytes.HasPrefix(b[:n], readOnlyMethod) {
+		c.refused.Add(1)
+		return 0, errNotReserved
+	}
+	c.admitted = true
+	return n, err
+}
--- a/cmd/yarrowgap/serve.go
+++ b/cmd/yarrowgap/serve.go
@@ -108,7 +108,7 @@
 func startProcess(ctx context.Context, ctl *controller.Controller, listeners *listeners, log *slog.Logger) *process {
 	ctx, stopController := context.WithCancel(ctx)
 	p := &process{
-		userServer:     httpserver.New(api.NewHandler(ctl, log, listeners.users.nearLimit), api.NonBlocking, log),
+		userServer:     httpserver.New(api.NewHandler(ctl, log, listeners.users.load), api.NonBlocking, log),
 		peerServer:     newPeerServer(api.NewPeerHandler(ctl, log), log),
 		serverErrors:   make(chan error, 2),
 		stopController: stopController,
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -26,16 +26,25 @@
 type handlers struct {
 	controller *controller.Controller
 	log        *slog.Logger
-	// nearConnLimit reports whether the listener for users and workers is near its limit on
-	// connections. It is nil in the handler for peers.
-	nearConnLimit func() bool
+	// connectionLoad reports which connections of the listener for users and workers are not to be
+	// kept open. It is nil in the handler for peers.
+	connectionLoad func() ConnectionLoad
 }
 
-// NewHandler makes the handler for users, workers, health checks and operators. While nearConnLimit
-// reports true, the connections of users are closed after each answer, because otherwise workers,
-// which have priority, could find no free connection.
-func NewHandler(c *controller.Controller, log *slog.Logger, nearConnLimit func() bool) http.Handler {
-	h := &handlers{controller: c, log: log, nearConnLimit: nearConnLimit}
+// ConnectionLoad says which connections are closed after each answer, because the listener for users
+// and workers is near its limit. Otherwise its clients could find no free connection.
+type ConnectionLoad int
+
+// Loads, lowest first.
+const (
+	KeepConnections      ConnectionLoad = iota
+	CloseUserConnections                // workers have priority over users
+	CloseAllConnections
+)
+
+// NewHandler makes the handler for users, workers, health checks and operators.
+func NewHandler(c *controller.Controller, log *slog.Logger, connectionLoad func() ConnectionLoad) http.Handler {
+	h := &handlers{controller: c, log: log, connectionLoad: connectionLoad}
 	router := newRouter(log)
 	router.POST(jobsPath, h.submit)
 	router.GET(jobPath, h.query)
--- a/internal/api/harness_test.go
+++ b/internal/api/harness_test.go
@@ -150,7 +150,7 @@
 	}
 	log := slog.New(slog.DiscardHandler)
 	ctl := controller.New(cfg, c.policy, log)
-	handler := api.NewHandler(ctl, log, func() bool { return false })
+	handler := api.NewHandler(ctl, log, func() api.ConnectionLoad { return api.KeepConnections })
 	userServer := httpserver.New(handler, api.NonBlocking, log)
 	peerServer := &http.Server{Handler: api.NewPeerHandler(ctl, log)}
 	go func() { _ = userServer.Serve(userListener) }()
--- a/internal/api/users.go
+++ b/internal/api/users.go
@@ -25,7 +25,7 @@
 }
 
 func (h *handlers) answerUser(c echo.Context, answer controller.Answer) error {
-	if h.nearConnLimit() {
+	if h.connectionLoad() >= CloseUserConnections {
 		closeConnection(c)
 	}
 	switch {
--- a/internal/api/workers.go
+++ b/internal/api/workers.go
@@ -38,6 +38,9 @@
 		return writeError(c, http.StatusBadRequest, err.Error())
 	}
 	answer := h.controller.Heartbeat(heartbeat)
+	if h.connectionLoad() >= CloseAllConnections {
+		closeConnection(c)
+	}
 	switch answer.Status {
 	case http.StatusOK:
 		return writeMessage(c, answer.Status, answer.Reply)
--- a/internal/mutation/load_test.go
+++ b/internal/mutation/load_test.go
@@ -56,6 +56,12 @@
 		operator: alwaysTrue(),
 		test:     "cmd/yarrowgap:^TestConnectionsOverLimitAreClosed$",
 	},
+	{
+		scenario: "workers take the last connections, and a load balancer checks the health",
+		marker:   "reserved-connections",
+		operator: replace("false"),
+		test:     "cmd/yarrowgap:^TestWorkersTakeConnectionsReservedForHealthChecks$",
+	},
 	{
 		scenario: "sockets are many and memory is small",
 		marker:   "connections-by-memory",
--- a/internal/tuning/httpserver.go
+++ b/internal/tuning/httpserver.go
@@ -39,6 +39,13 @@
 	LingerTimeout = 500 * time.Millisecond
 	// ListenerHighWatermark is the share of the listener's connections above which a user's
 	// connection is closed after each response, so that workers, who have priority, can
-	// connect.
-	ListenerHighWatermark = 0.85
+	// connect. Above WorkerConnsHighWatermark the connections of workers are closed as well: they
+	// connect again for the next heartbeat, so that there may be more machines than sockets.
+	ListenerHighWatermark    = 0.85
+	WorkerConnsHighWatermark = 0.9
+	// ListenerReservedShare is the share of the listener's connections that only health checks and
+	// queries may use. ReservedConnTimeout is how long such a connection may take to send the first
+	// bytes of its request: load balancers wait no longer for a health check.
+	ListenerReservedShare = 0.05
+	ReservedConnTimeout   = 1 * time.Second
 )
