An isolated controller withdraws from load balancers at most twice in a row

What callers saw: while controllers refused each other's connections and the key-value store failed again and again, no query reached any controller until up to a minute after the last fault.

Cause: a controller answered health checks with 503 whenever it was isolated. It cannot know whether others serve; in an outage that all share, all withdraw. A load balancer keeps a controller out for twice as long each time, so the removal outlasts its reason.

Fix: healthGate alone decides whether a controller is in service. Within two minutes of its last withdrawal it withdraws once more at most, which keeps it out for 6 s, and then stays in service. It is evaluated with each tick, so that a health check no longer waits for the controller's lock.

Evidence: TestIsolationsInSeriesKeepControllerOutOfService feeds drawn and fixed outages to the gate and to a load balancer's view of its health (simulator.TargetHealth, by the protocol). Without the bound the controller is still removed for a minute 30 s after the last outage.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -75,6 +75,7 @@
 	membership    membership
 	replication   replication
 	cancellations cancellations
+	healthGate    healthGate
 	machineTypes  []wire.MachineType
 	metrics       metrics
 
@@ -140,19 +141,23 @@
 	loops.Wait()
 }
 
-// Healthy reports whether load balancers should send users' requests to this controller:
-// unless it is isolated, it can answer them or forward them to a peer that can. In an outage
-// that affects all controllers it stays healthy, since a load balancer takes time to return a
-// controller to service.
-func (c *Controller) Healthy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// Healthy reports whether load balancers should send users' requests to this controller, as of the
+// last tick. It takes no lock, so that health checks do not wait for the scheduler.
+func (c *Controller) Healthy() bool { return c.healthGate.inService() }
+
+// updateHealth decides whether this controller is in service. Called with the lock held.
+func (c *Controller) updateHealth() {
 	isolated := c.membership.isolated()
-	if isolated != c.membership.reportedIsolated {
-		c.membership.reportedIsolated = isolated
-		c.log.Info("health changed", "healthy", !isolated, "store_unavailable_ms", c.membership.storeUnavailableFor().Milliseconds())
+	if isolated == c.healthGate.isolated {
+		return
+	}
+	if isolated {
+		c.healthGate.beginIsolation(time.Now())
+	} else {
+		c.healthGate.endIsolation()
 	}
-	return !isolated
+	c.log.Info("health changed", "healthy", c.Healthy(), "isolated", c.healthGate.isolated, "withdrawals", c.healthGate.withdrawals,
+		"store_unavailable_ms", c.membership.storeUnavailableFor().Milliseconds())
 }
 
 // now returns the time for the scheduler: monotonic time since New, and wall-clock time.
@@ -222,9 +227,10 @@
 	}
 }
 
-// tick steps down if this controller may no longer lead, and otherwise runs the scheduler's
-// periodic work. Called with the lock held.
+// tick updates the health, steps down if this controller may no longer lead, and otherwise runs the
+// scheduler's periodic work. Called with the lock held.
 func (c *Controller) tick() {
+	c.updateHealth()
 	sched := c.leadership.scheduler
 	switch {
 	case sched == nil:
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -18,8 +18,6 @@
 	storeUnavailableFor func() time.Duration
 	// fleetSize is the number of machines that the latest known leader served; 0 if unknown.
 	fleetSize int
-	// reportedIsolated is whether the last health check found this controller isolated.
-	reportedIsolated bool
 }
 
 // peerState is what a controller knows about one peer. Guarded by Controller.mu, except for the
--- a/internal/controller/membership_test.go
+++ b/internal/controller/membership_test.go
@@ -43,12 +43,15 @@
 	} {
 		c.membership.storeUnavailableFor = func() time.Duration { return tc.unservedFor }
 		setPeers(tc.peersServed, tc.reachable)
+		c.healthGate = healthGate{}
+		c.updateHealth()
 		if c.Healthy() == tc.isolated {
 			t.Errorf("%+v: healthy %v", tc, !tc.isolated)
 		}
 	}
 	c.membership.storeUnavailableFor = func() time.Duration { return 0 }
 	setPeers(false, 0)
+	c.updateHealth()
 	if !c.Healthy() {
 		t.Error("unhealthy though the store serves it")
 	}
--- a/internal/mutation/load_test.go
+++ b/internal/mutation/load_test.go
@@ -62,6 +62,12 @@
 		operator: replace("false"),
 		test:     "cmd/yarrowgap:^TestWorkersTakeConnectionsReservedForHealthChecks$",
 	},
+	{
+		scenario: "outages in series isolate a controller, and a load balancer checks its health",
+		marker:   "withdrawals-bound",
+		operator: replace("true"),
+		test:     "internal/controller:^TestIsolationsInSeriesKeepControllerOutOfService$",
+	},
 	{
 		scenario: "sockets are many and memory is small",
 		marker:   "connections-by-memory",
--- a/internal/tuning/controller.go
+++ b/internal/tuning/controller.go
@@ -70,6 +70,11 @@
 	// HealthCheckTimeout is set by the protocol: how long a load balancer waits for the answer to a
 	// health check.
 	HealthCheckTimeout = time.Second
+	// WithdrawalMemory is set by the protocol: a load balancer that removes a controller again within
+	// this time keeps it out for twice as long. MaxWithdrawals is how often in a row a controller may
+	// cause that by itself: the second time it is out for 6 s, the sixth time for a minute.
+	WithdrawalMemory = 2 * time.Minute
+	MaxWithdrawals   = 2
 	// QueryGapExpiry is how long after the last failed query about a job the job no longer counts as
 	// unanswered. Users poll every 5 s.
 	QueryGapExpiry = 20 * time.Second
