Soak: users behind a load balancer, the longest time of a job without an answer

Total counts of failed requests hide a job about which nobody is answered. The soak asked controllers directly, so it could not see what a load balancer makes of their health checks either.

simulator.LoadBalancer forwards connections and removes controllers by the protocol. Half of the users' requests go through it, and all accepted jobs are polled through it. New faults: controllers refuse each other's connections, also with outages of the key-value store in a row. Each controller asserts that it does not leave queries about a job unanswered for 75 s while the store serves it.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -73,8 +73,8 @@
 		report, err = soak.Run(ctx, config)
 	}
 	if err == nil && len(report.Violations) == 0 {
-		fmt.Printf("seed %d passed: %d faults, %d jobs, %d starts, %d of %d queries answered, settled in %.1f s\n",
-			seed, len(report.Schedule), report.Jobs, report.Starts, report.Answered, report.Queries, report.Settled.Seconds())
+		fmt.Printf("seed %d passed: %d faults, %d jobs, %d starts, %d of %d queries answered, settled in %.1f s; unanswered: %s\n",
+			seed, len(report.Schedule), report.Jobs, report.Starts, report.Answered, report.Queries, report.Settled.Seconds(), report.Unanswered)
 		_ = os.RemoveAll(directory)
 		return true
 	}
--- a/internal/controller/invariants.go
+++ b/internal/controller/invariants.go
@@ -1,6 +1,10 @@
 package controller
 
-import "time"
+import (
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+)
 
 // assertLeaseEnded checks, when another leader or the end of the lease becomes known to a leader,
 // that the lease of its term may have ended. The key-value store never ends a lease early, so the
@@ -12,7 +16,25 @@
 	if remaining <= 0 {
 		return
 	}
-	c.metrics.invariantViolations++
-	c.log.Error("invariant violated", "invariant", "the lease of a running leader lasts for its TTL",
+	c.reportViolation("the lease of a running leader lasts for its TTL",
 		"term", term, "reason", reason, "remaining_ms", remaining.Milliseconds())
 }
+
+// assertAnswered checks, when a query about a job was not answered, that others about it were not too
+// long ago, unless the key-value store did not serve this controller meanwhile. unanswered is for how
+// long all of them have failed.
+func (c *Controller) assertAnswered(id string, unanswered time.Duration) {
+	if unanswered < tuning.MaxUnansweredTime {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reportViolation("queries about a job are answered while the key-value store serves",
+		"job", id, "unanswered_ms", unanswered.Milliseconds())
+}
+
+// reportViolation counts and logs a violated invariant. Called with the lock held.
+func (c *Controller) reportViolation(invariant string, attributes ...any) {
+	c.metrics.invariantViolations++
+	c.log.Error("invariant violated", append([]any{"invariant", invariant}, attributes...)...)
+}
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -21,13 +21,21 @@
 	}
 	answer := c.answerQuery(ctx, id, origin)
 	if answer.Status == http.StatusServiceUnavailable {
-		c.queryGaps.failed(id, time.Now())
+		c.assertAnswered(id, c.queryGaps.failed(id, time.Now(), c.storeState()))
 	} else {
 		c.queryGaps.answered(id)
 	}
 	return answer
 }
 
+// storeState returns whether the key-value store served the last request of this controller.
+func (c *Controller) storeState() storeState {
+	if c.store.UnavailableFor() > 0 {
+		return storeFailing
+	}
+	return storeServing
+}
+
 func (c *Controller) answerQuery(ctx context.Context, id string, origin Origin) Answer {
 	release, refusal := c.admission.admitQueryOrCancel()
 	if release == nil {
--- a/internal/controller/query_gaps.go
+++ b/internal/controller/query_gaps.go
@@ -17,7 +17,19 @@
 }
 
 // queryGap is a time in which all queries about a job at this controller failed.
-type queryGap struct{ firstFailedAt, lastFailedAt time.Time }
+type queryGap struct {
+	firstFailedAt time.Time
+	lastFailedAt  time.Time
+	servedSince   time.Time // first failure since which the key-value store has served this controller
+}
+
+// storeState is whether the key-value store serves this controller.
+type storeState int
+
+const (
+	storeServing storeState = iota
+	storeFailing
+)
 
 func newQueryGaps() *queryGaps { return &queryGaps{byJob: map[string]queryGap{}} }
 
@@ -28,22 +40,28 @@
 	delete(g.byJob, id)
 }
 
-// failed records that a query about a job was not answered. A gap without a query for
-// tuning.QueryGapExpiry has ended: the users may have asked elsewhere.
-func (g *queryGaps) failed(id string, now time.Time) {
+// failed records that a query about a job was not answered. It returns for how long all queries about
+// the job have failed while the key-value store served this controller; store is its
+// state now. A gap without a query for tuning.QueryGapExpiry has ended: the users may have asked
+// elsewhere.
+func (g *queryGaps) failed(id string, now time.Time, store storeState) (unansweredWhileServed time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	gap, known := g.byJob[id]
 	if !known && len(g.byJob) >= tuning.MaxQueryGaps {
-		return
+		return 0
 	}
 	if !known || now.Sub(gap.lastFailedAt) > tuning.QueryGapExpiry {
-		gap.firstFailedAt = now
+		gap.firstFailedAt, gap.servedSince = now, now
+	}
+	if store == storeFailing {
+		gap.servedSince = now
 	}
 	gap.lastFailedAt = now
 	g.byJob[id] = gap
 	length := now.Sub(gap.firstFailedAt)
 	g.longestOfAll, g.longestRecent = max(g.longestOfAll, length), max(g.longestRecent, length)
+	return now.Sub(gap.servedSince)
 }
 
 // longest returns the longest gap of any job so far.
--- a/internal/controller/query_gaps_test.go
+++ b/internal/controller/query_gaps_test.go
@@ -12,17 +12,17 @@
 func TestLongestUnansweredTimeIsThatOfOneJob(t *testing.T) {
 	gaps, start := newQueryGaps(), time.Now()
 	for second := range 10 {
-		gaps.failed(fmt.Sprintf("run-%06d", second), start.Add(time.Duration(second)*time.Second))
+		gaps.failed(fmt.Sprintf("run-%06d", second), start.Add(time.Duration(second)*time.Second), storeServing)
 	}
 	if longest := gaps.longest(); longest != 0 {
 		t.Errorf("ten jobs with one failed query each are unanswered for %v", longest)
 	}
-	gaps.failed("run-000003", start.Add(12*time.Second))
+	gaps.failed("run-000003", start.Add(12*time.Second), storeServing)
 	if longest := gaps.longest(); longest != 9*time.Second {
 		t.Errorf("a job with failed queries at 3 s and 12 s is unanswered for %v", longest)
 	}
 	gaps.answered("run-000003")
-	gaps.failed("run-000003", start.Add(20*time.Second))
+	gaps.failed("run-000003", start.Add(20*time.Second), storeServing)
 	if longest := gaps.longest(); longest != 9*time.Second {
 		t.Errorf("after an answer, the longest time is %v", longest)
 	}
@@ -30,8 +30,8 @@
 
 func TestUnansweredTimeEndsWhenNobodyAsks(t *testing.T) {
 	gaps, start := newQueryGaps(), time.Now()
-	gaps.failed("run-000001", start)
-	gaps.failed("run-000001", start.Add(tuning.QueryGapExpiry+time.Second))
+	gaps.failed("run-000001", start, storeServing)
+	gaps.failed("run-000001", start.Add(tuning.QueryGapExpiry+time.Second), storeServing)
 	if longest := gaps.longest(); longest != 0 {
 		t.Errorf("two failed queries far apart count as unanswered for %v", longest)
 	}
@@ -51,3 +51,30 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+func TestUnansweredTimeInAnOutageViolatesNoInvariant(t *testing.T) {
+	gaps, start := newQueryGaps(), time.Now()
+	var unanswered time.Duration
+	for second := 0; second < 200; second += 5 {
+		store := storeServing
+		if second < 60 {
+			store = storeFailing
+		}
+		unanswered = gaps.failed("run-000001", start.Add(time.Duration(second)*time.Second), store)
+	}
+	if want := 140 * time.Second; unanswered != want {
+		t.Errorf("unanswered for %v while the store served, want %v", unanswered, want)
+	}
+}
+
+func TestJobUnansweredForLongViolatesInvariant(t *testing.T) {
+	c := newTestController(t)
+	c.assertAnswered("run-000001", tuning.MaxUnansweredTime-1)
+	if violations := c.MetricsView().InvariantViolations; violations != 0 {
+		t.Errorf("%d violations within the limit", violations)
+	}
+	c.assertAnswered("run-000001", tuning.MaxUnansweredTime)
+	if violations := c.MetricsView().InvariantViolations; violations != 1 {
+		t.Errorf("%d violations at the limit", violations)
+	}
+}
--- a/internal/simulator/link.go
+++ b/internal/simulator/link.go
@@ -25,15 +25,16 @@
 // holds back what is sent until the cut ends, or delayed. Held data is forwarded afterwards even if
 // its sender has closed the connection meanwhile, as by a network that holds packets.
 type Link struct {
-	listener net.Listener
-	target   string
-
-	mu      sync.Mutex // guards the fields below
-	opened  *sync.Cond // a cut has ended, or the link was closed
-	cut     [2]bool
-	delay   [2]time.Duration
-	conns   map[net.Conn]struct{}
-	closing bool
+	addr   string
+	target string
+
+	mu       sync.Mutex   // guards the fields below
+	listener net.Listener // nil while the link refuses connections
+	opened   *sync.Cond   // a cut has ended, or the link was closed
+	cut      [2]bool
+	delay    [2]time.Duration
+	conns    map[net.Conn]struct{}
+	closing  bool
 }
 
 // ListenLoopback listens on a free port of the loopback interface.
@@ -48,14 +49,14 @@
 	if err != nil {
 		return nil, err
 	}
-	link := &Link{listener: listener, target: target, conns: map[net.Conn]struct{}{}}
+	link := &Link{addr: listener.Addr().String(), listener: listener, target: target, conns: map[net.Conn]struct{}{}}
 	link.opened = sync.NewCond(&link.mu)
-	go link.accept()
+	go link.accept(listener)
 	return link, nil
 }
 
 // Addr returns the address that clients connect to.
-func (l *Link) Addr() string { return l.listener.Addr().String() }
+func (l *Link) Addr() string { return l.addr }
 
 // SetCut cuts a direction or ends its cut.
 func (l *Link) SetCut(direction Direction, cut bool) {
@@ -72,6 +73,35 @@
 	l.delay[direction] = delay
 }
 
+// RefuseConnections refuses new connections and closes the open ones, until AcceptConnections.
+func (l *Link) RefuseConnections() {
+	l.mu.Lock()
+	listener := l.listener
+	l.listener = nil
+	l.mu.Unlock()
+	if listener != nil {
+		_ = listener.Close()
+	}
+	l.ResetConnections()
+}
+
+// AcceptConnections ends the effect of RefuseConnections.
+func (l *Link) AcceptConnections() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.listener != nil || l.closing {
+		return nil
+	}
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", l.addr)
+	if err != nil {
+		return err
+	}
+	l.listener = listener
+	go l.accept(listener)
+	return nil
+}
+
 // ResetConnections closes all open connections.
 func (l *Link) ResetConnections() {
 	l.mu.Lock()
@@ -87,13 +117,12 @@
 	l.closing = true
 	l.opened.Broadcast()
 	l.mu.Unlock()
-	_ = l.listener.Close()
-	l.ResetConnections()
+	l.RefuseConnections()
 }
 
-func (l *Link) accept() {
+func (l *Link) accept(listener net.Listener) {
 	for {
-		client, err := l.listener.Accept()
+		client, err := listener.Accept()
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -44,6 +45,7 @@
 	peerLinks   [][]*simulator.Link
 	servers     []*http.Server
 	client      *http.Client // of users
+	balancer    *simulator.LoadBalancer
 }
 
 // newCluster starts the simulated services and prepares the controllers.
@@ -158,12 +160,19 @@
 	fmt.Fprintf(&text, "[[deployment.teams]]\nname = %q\ncpus = %.1f\ncpus_max = %.1f\n", team, c.config.quotaLimit()/2, c.config.quotaLimit())
 	fmt.Fprintf(&text, "[deployment.workers]\nreport_s = %.1f\nlease_s = %.1f\ncancel_s = %.1f\n",
 		heartbeatInterval.Seconds(), workerLease.Seconds(), cancelGrace.Seconds())
-	text.WriteString("[deployment.state]\nrps = 1000.0\nwrite_rps = 300.0\nvalue_kb = 4.0\ntxn_ops = 12\n")
+	limits := c.config.limits()
+	fmt.Fprintf(&text, "[deployment.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = 4.0\ntxn_ops = 12\n", limits.storeRPS, limits.storeWriteRPS)
 	text.WriteString("[deployment.cloud]\nrps = 20.0\nlist_lag_s = 1.0\n")
-	text.WriteString("[deployment.quota]\ncpu_share = 0.5\nmem_mb = 256.0\nfd_limit = 2000\n")
+	fmt.Fprintf(&text, "[deployment.quota]\ncpu_share = 0.5\nmem_mb = 256.0\nfd_limit = %d\n", limits.sockets)
 	return text.String()
 }
 
+// startBalancer starts the load balancer of the users.
+func (c *cluster) startBalancer(ctx context.Context, log func(format string, args ...any)) (err error) {
+	c.balancer, err = simulator.NewLoadBalancer(ctx, c.userAddrs, log)
+	return err
+}
+
 // startAll starts all controllers that do not run.
 func (c *cluster) startAll(ctx context.Context) error {
 	var errs []error
@@ -189,7 +198,12 @@
 
 // links returns all links.
 func (c *cluster) links() []*simulator.Link {
-	links := append(append([]*simulator.Link(nil), c.workerLinks...), c.storeLinks...)
+	return slices.Concat(c.workerLinks, c.storeLinks, c.allPeerLinks())
+}
+
+// allPeerLinks returns the links between any two controllers.
+func (c *cluster) allPeerLinks() []*simulator.Link {
+	var links []*simulator.Link
 	for _, peers := range c.peerLinks {
 		for _, link := range peers {
 			if link != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -89,6 +89,9 @@
 	}
 	in.log("begin %s at controller %d", fault, target)
 	name := fmt.Sprint(fault.Kind, target)
+	if fault.Kind == FaultRefusePeers {
+		name = string(fault.Kind) // concerns all controllers
+	}
 	in.active.begin(name)
 	effect := in.controllerEffect(ctx, fault, target)
 	return func() error {
@@ -125,6 +128,8 @@
 		return cut(c.linksToPeers(target), simulator.Requests, simulator.Replies)
 	case FaultCutPeersOneWay:
 		return cut(c.linksToPeers(target), simulator.Replies)
+	case FaultRefusePeers:
+		return refuseConnections(c.allPeerLinks())
 	case FaultCutStore:
 		return cut(c.storeLinks[target:target+1], simulator.Requests, simulator.Replies)
 	case FaultCutStoreReplies:
@@ -202,6 +207,25 @@
 	return infallible(set(true), set(false))
 }
 
+// refuseConnections returns the effect of links that refuse connections.
+func refuseConnections(links []*simulator.Link) effect {
+	return effect{
+		begin: func() error {
+			for _, link := range links {
+				link.RefuseConnections()
+			}
+			return nil
+		},
+		end: func() error {
+			var errs []error
+			for _, link := range links {
+				errs = append(errs, link.AcceptConnections())
+			}
+			return errors.Join(errs...)
+		},
+	}
+}
+
 // lateness draws whether a message is affected by a fault and how late it is.
 type lateness = func() (delay time.Duration, affected bool)
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,6 +23,7 @@
 	Controllers int
 	Workers     int           // about how many machines the team may use
 	Users       int           // how many send requests at the same time
+	Scarce      bool          // few sockets and a small rate of the key-value store for the number of machines
 	FaultTime   time.Duration // how long faults are injected
 	SettleTime  time.Duration // how long the run waits afterwards for answers and for work to end
 }
@@ -30,11 +31,32 @@
 // DefaultConfig returns the configuration of a run with a seed.
 func DefaultConfig(seed uint64, binary, directory string) Config {
 	return Config{
-		Seed: seed, Binary: binary, Directory: directory, Controllers: 3, Workers: 16, Users: 6,
+		Seed: seed, Binary: binary, Directory: directory, Controllers: 3, Workers: 16, Users: 6, Scarce: seed%2 == 1,
 		FaultTime: 40 * time.Second, SettleTime: 120 * time.Second,
 	}
 }
 
+// limits are what the settings say of the platform and of the key-value store.
+type limits struct {
+	sockets                 int
+	storeRPS, storeWriteRPS float64
+}
+
+// Limits of a run with scarce resources: not enough sockets for all workers and users, and as many
+// requests of the key-value store as the leader, the readers of changes and some users need.
+const (
+	scarceSocketsPerWorker = 2
+	scarceStoreRPS         = 100
+	scarceStoreWriteRPS    = 30
+)
+
+func (c Config) limits() limits {
+	if c.Scarce {
+		return limits{sockets: scarceSocketsPerWorker * c.Workers, storeRPS: scarceStoreRPS, storeWriteRPS: scarceStoreWriteRPS}
+	}
+	return limits{sockets: 2000 + 4*c.Workers, storeRPS: 1000, storeWriteRPS: 300}
+}
+
 func (c Config) quotaLimit() float64 { return float64(c.Workers) * machineType.CPUs }
 
 // Report is the result of a run.
@@ -46,6 +68,7 @@
 	Answered   int
 	Starts     int
 	Settled    time.Duration // from the last fault until all accepted jobs were answered and work had ended
+	Unanswered UnansweredSummary
 }
 
 const (
@@ -93,10 +116,10 @@
 func (r *run) play(ctx context.Context) error {
 	rng := rand.New(rand.NewPCG(r.config.Seed, 0)) //nolint:gosec // a seeded generator
 	r.report.Schedule = DrawSchedule(rng, r.config.Controllers, r.config.FaultTime)
-	if err := r.cluster.startAll(ctx); err != nil {
+	if err := errors.Join(r.cluster.startAll(ctx), r.cluster.startBalancer(ctx, r.tracef)); err != nil {
 		return err
 	}
-	r.users = &users{cluster: r.cluster, trace: r.tracef, submitting: true}
+	r.users = &users{cluster: r.cluster, trace: r.tracef, submitting: true, unanswered: newUnansweredTimes()}
 	loopCtx, stopLoops := context.WithCancel(ctx)
 	var loops sync.WaitGroup
 	defer loops.Wait()
@@ -106,6 +129,7 @@
 		loops.Go(func() { r.users.run(loopCtx, userRNG) })
 	}
 	loops.Go(func() { r.checkMachines(loopCtx) })
+	loops.Go(func() { r.users.pollAll(loopCtx) })
 	if err := r.awaitFirstJob(ctx); err != nil {
 		return err
 	}
@@ -145,7 +169,10 @@
 func (r *run) endFaults() {
 	r.tracef("all faults have ended")
 	r.users.endSubmissions()
-	r.cluster.simulation.Check(func(now time.Duration, checker *simulator.RuleChecker) { checker.FaultsEnded(now) })
+	r.cluster.simulation.Check(func(now time.Duration, checker *simulator.RuleChecker) {
+		checker.FaultsEnded(now)
+		r.users.unanswered.faultsEnded(now)
+	})
 }
 
 // settle waits until every accepted job was answered by every controller and has ended, or the
@@ -177,6 +204,10 @@
 		r.report.Violations = append(r.report.Violations, p.unexpectedEnds()...)
 		r.report.Violations = append(r.report.Violations, reportedInvariants(p.logPath)...)
 	}
+	r.report.Unanswered = r.users.unanswered.summary()
+	if r.report.Unanswered.OverLimit > 0 {
+		r.report.Violations = append(r.report.Violations, "unanswered through the load balancer: "+r.report.Unanswered.String())
+	}
 	r.users.mu.Lock()
 	defer r.users.mu.Unlock()
 	r.report.Jobs, r.report.Queries, r.report.Answered = len(r.users.jobs), r.users.requests, r.users.answered
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -18,6 +18,7 @@
 	FaultPause           FaultKind = "pause"             // SIGSTOP, SIGCONT after the duration
 	FaultCutPeers        FaultKind = "cut peers"         // two-way cut from the other controllers
 	FaultCutPeersOneWay  FaultKind = "cut peers one way" // the other controllers' answers are held
+	FaultRefusePeers     FaultKind = "refuse peers"      // all controllers refuse each other's connections
 	FaultCutStore        FaultKind = "cut store"         // two-way cut from the key-value store
 	FaultCutStoreReplies FaultKind = "cut store replies" // requests arrive, answers are held
 	FaultCutWorkers      FaultKind = "cut workers"       // workers do not reach the controller
@@ -36,7 +37,7 @@
 // FaultKinds lists all kinds of faults.
 func FaultKinds() []FaultKind {
 	return []FaultKind{
-		FaultKill, FaultKillAll, FaultPause, FaultCutPeers, FaultCutPeersOneWay, FaultCutStore, FaultCutStoreReplies,
+		FaultKill, FaultKillAll, FaultPause, FaultCutPeers, FaultCutPeersOneWay, FaultRefusePeers, FaultCutStore, FaultCutStoreReplies,
 		FaultCutWorkers, FaultCutReplies, FaultRefuse, FaultOutage, FaultDelayStore, FaultLostReplies, FaultLateWrites,
 		FaultLateHeartbeats, FaultLateCommands, FaultHang, FaultPartition,
 	}
@@ -75,6 +76,11 @@
 	seriesShare       = 0.15             // share of kills that begin a series of leader changes
 	seriesLength      = 4
 	seriesInterval    = 1500 * time.Millisecond
+
+	outageSeriesShare    = 0.5 // share of refused peers with outages of the key-value store in a row
+	outageSeriesLength   = 4
+	outageSeriesDuration = 7 * time.Second // long enough for a load balancer to remove isolated controllers
+	outageSeriesInterval = 10 * time.Second
 )
 
 // DrawSchedule draws the faults of a run, which all end within the given time.
@@ -90,7 +96,11 @@
 		if fault.Kind == FaultKill && rng.Float64() < seriesShare {
 			faults = append(faults, killSeries(at)...)
 		}
+		if fault.Kind == FaultRefusePeers && rng.Float64() < outageSeriesShare {
+			faults = append(faults, outageSeries(at)...)
+		}
 	}
+	faults = slices.DeleteFunc(faults, func(fault Fault) bool { return fault.At >= within })
 	for i := range faults {
 		faults[i].For = min(faults[i].For, max(0, within-faults[i].At))
 	}
@@ -109,6 +119,15 @@
 	return faults
 }
 
+// outageSeries returns outages of the key-value store in a row, while peers refuse each other.
+func outageSeries(from time.Duration) []Fault {
+	faults := []Fault{{At: from, For: outageSeriesLength * outageSeriesInterval, Kind: FaultRefusePeers}}
+	for i := range outageSeriesLength {
+		faults = append(faults, Fault{At: from + time.Duration(i)*outageSeriesInterval, For: outageSeriesDuration, Kind: FaultOutage})
+	}
+	return faults
+}
+
 // drawDuration draws a duration, short ones more often than long ones.
 func drawDuration(rng *rand.Rand) time.Duration {
 	share := rng.Float64()
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -26,8 +26,17 @@
 	submitShare = 0.12
 	repeatShare = 0.1
 	cancelShare = 0.05
+	// balancedShare is the share of requests that go through the load balancer; the others go to a
+	// controller directly.
+	balancedShare = 0.5
+	// pollInterval is the pause between two rounds of queries about all jobs through the load balancer.
+	pollInterval = 2 * time.Second
+	pollers      = 8 // queries of such a round at once
 )
 
+// throughBalancer stands for the load balancer in place of a controller's index.
+const throughBalancer = -1
+
 // userJob is what the users know about a job.
 type userJob struct {
 	id         string
@@ -50,8 +59,9 @@
 
 // users submit jobs, ask about them and cancel some, at all controllers.
 type users struct {
-	cluster *cluster
-	trace   func(format string, args ...any)
+	cluster    *cluster
+	trace      func(format string, args ...any)
+	unanswered *unansweredTimes
 
 	mu         sync.Mutex // guards the fields below
 	jobs       []*userJob
@@ -70,6 +80,9 @@
 
 func (u *users) sendRandom(ctx context.Context, rng *rand.Rand) {
 	controller := rng.IntN(len(u.cluster.userAddrs))
+	if rng.Float64() < balancedShare {
+		controller = throughBalancer
+	}
 	job, isNew := u.chooseJob(rng)
 	if job == nil {
 		return
@@ -158,7 +171,7 @@
 
 func (u *users) query(ctx context.Context, controller int, job *userJob) {
 	asked := u.send(ctx, controller, http.MethodGet, jobsPath+"/"+job.id, nil)
-	answered := asked.status == http.StatusOK || asked.status == http.StatusNotFound
+	answered := asked.isAnswer()
 	u.check(job, asked, func(now time.Duration, checker *simulator.RuleChecker) {
 		if !answered {
 			checker.PollFailed(now, job.id)
@@ -167,6 +180,9 @@
 		checker.PollAnswered(now, job.id)
 		checker.QueryAnswered(asked.sentAt, now, job.id, asked.state)
 	})
+	if controller == throughBalancer && ctx.Err() == nil {
+		u.recordPoll(job, asked)
+	}
 	u.mu.Lock()
 	u.requests++
 	if answered {
@@ -174,13 +190,24 @@
 	}
 	faultsOver := u.faultsOver && asked.afterFaults
 	u.mu.Unlock()
-	if answered && faultsOver {
+	if answered && faultsOver && controller != throughBalancer {
 		job.mu.Lock()
 		job.answeredAfterFaults[controller] = true
 		job.mu.Unlock()
 	}
 }
 
+// recordPoll records the outcome of a query through the load balancer.
+func (u *users) recordPoll(job *userJob, asked userAnswer) {
+	u.cluster.simulation.Check(func(now time.Duration, _ *simulator.RuleChecker) {
+		if asked.isAnswer() {
+			u.unanswered.answered(now, job.id)
+		} else {
+			u.unanswered.failed(now, job.id)
+		}
+	})
+}
+
 // check reports an answer to the rule checker and records the state that it told.
 func (u *users) check(job *userJob, asked userAnswer, report func(now time.Duration, checker *simulator.RuleChecker)) {
 	u.cluster.simulation.Check(report)
@@ -209,12 +236,17 @@
 	state       string
 }
 
+// isAnswer reports whether the answer tells the state of a job.
+func (a userAnswer) isAnswer() bool {
+	return a.status == http.StatusOK || a.status == http.StatusNotFound
+}
+
 func (u *users) send(ctx context.Context, controller int, method, path string, body []byte) (asked userAnswer) {
 	u.mu.Lock()
 	asked.afterFaults = u.faultsOver
 	u.mu.Unlock()
 	u.cluster.simulation.Check(func(now time.Duration, _ *simulator.RuleChecker) { asked.sentAt = now })
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+u.cluster.userAddrs[controller]+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+u.addr(controller)+path, bytes.NewReader(body))
 	if err != nil {
 		panic(err) // unreachable: the address is valid
 	}
@@ -233,6 +265,36 @@
 	return asked
 }
 
+// addr returns the address of a controller or of the load balancer.
+func (u *users) addr(controller int) string {
+	if controller == throughBalancer {
+		return u.cluster.balancer.Addr()
+	}
+	return u.cluster.userAddrs[controller]
+}
+
+// pollAll queries all accepted jobs through the load balancer at intervals, until ctx ends.
+func (u *users) pollAll(ctx context.Context) {
+	for simulator.Sleep(ctx, pollInterval) {
+		u.mu.Lock()
+		jobs := append([]*userJob(nil), u.jobs...)
+		u.mu.Unlock()
+		var polls sync.WaitGroup
+		slots := make(chan struct{}, pollers)
+		for _, job := range jobs {
+			if !job.isAccepted() {
+				continue
+			}
+			slots <- struct{}{}
+			polls.Go(func() {
+				defer func() { <-slots }()
+				u.query(ctx, throughBalancer, job)
+			})
+		}
+		polls.Wait()
+	}
+}
+
 // endSubmissions stops new submissions and cancellations and marks the end of the last fault.
 func (u *users) endSubmissions() {
 	u.mu.Lock()
--- a/internal/tuning/controller.go
+++ b/internal/tuning/controller.go
@@ -75,6 +75,9 @@
 	// cause that by itself: the second time it is out for 6 s, the sixth time for a minute.
 	WithdrawalMemory = 2 * time.Minute
 	MaxWithdrawals   = 2
+	// MaxUnansweredTime is set by the rules: how long all queries about an accepted job may fail after
+	// the last fault.
+	MaxUnansweredTime = 75 * time.Second
 	// QueryGapExpiry is how long after the last failed query about a job the job no longer counts as
 	// unanswered. Users poll every 5 s.
 	QueryGapExpiry = 20 * time.Second
