--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -26,7 +26,7 @@
 	Users     int           `default:"6" help:"How many users send requests at once."`
 	FaultTime time.Duration `default:"40s" help:"How long faults are injected."`
 	Binary    string        `help:"The controller program; it is built if this is empty."`
-	Directory string        `default:"target/soak" help:"Where settings, logs and traces go; those of passed seeds are deleted."`
+	Directory string        `default:"target/soak" help:"Where settings, logs and traces go; those of passed seeds are deleted unless a job went unanswered for long."`
 }
 
 func main() {
@@ -75,7 +75,9 @@
 	if err == nil && len(report.Violations) == 0 {
 		fmt.Printf("seed %d passed: %d faults, %d jobs, %d starts, %d of %d queries answered, settled in %.1f s; unanswered: %s\n",
 			seed, len(report.Schedule), report.Jobs, report.Starts, report.Answered, report.Queries, report.Settled.Seconds(), report.Unanswered)
-		_ = os.RemoveAll(directory)
+		if report.Unanswered.OverTarget == 0 {
+			_ = os.RemoveAll(directory)
+		}
 		return true
 	}
 	fmt.Printf("seed %d FAILED (%v), logs and trace in %s\nagain: go run ./cmd/soak --from %d --workers %d --users %d --fault-time %s\n%s",
--- a/internal/config/capacity.go
+++ b/internal/config/capacity.go
@@ -63,7 +63,7 @@
 	var shortfalls []string
 	capacity := s.Capacity()
 	if capacity.ByConnections > 0 && machines > capacity.ByConnections {
-		shortfalls = append(shortfalls, fmt.Sprintf("sockets or memory: connections for %d of %d machines, the other workers are refused",
+		shortfalls = append(shortfalls, fmt.Sprintf("sockets or memory: connections for %d of %d machines, workers connect again for each heartbeat",
 			capacity.ByConnections, machines))
 	}
 	if capacity.ByCPU > 0 && machines > capacity.ByCPU {
--- a/internal/soak/unanswered.go
+++ b/internal/soak/unanswered.go
@@ -50,6 +50,15 @@
 	u.over, u.faultsEndedAt = true, now
 }
 
+// accepted records that a user was told that a job is accepted, from which on it counts as known.
+func (u *unansweredTimes) accepted(now time.Duration, job string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if _, known := u.answeredAt[job]; !known {
+		u.answeredAt[job] = now
+	}
+}
+
 // answered records an answered query about an accepted job.
 func (u *unansweredTimes) answered(now time.Duration, job string) {
 	u.mu.Lock()
@@ -65,8 +74,8 @@
 	u.measure(now, job)
 }
 
-// measure updates the longest time of a job. A job that was never asked about before counts from the
-// end of the last fault. The caller holds u.mu.
+// measure updates the longest time of a job, which counts from the end of the last fault at the
+// earliest. The caller holds u.mu.
 func (u *unansweredTimes) measure(now time.Duration, job string) {
 	if u.over {
 		since := max(u.faultsEndedAt, u.answeredAt[job])
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -180,7 +180,7 @@
 		checker.PollAnswered(now, job.id)
 		checker.QueryAnswered(asked.sentAt, now, job.id, asked.state)
 	})
-	if controller == throughBalancer && ctx.Err() == nil {
+	if controller == throughBalancer && ctx.Err() == nil && job.isAccepted() {
 		u.recordPoll(job, asked)
 	}
 	u.mu.Lock()
@@ -214,6 +214,7 @@
 	if asked.status != http.StatusOK && asked.status != http.StatusCreated {
 		return
 	}
+	u.unanswered.accepted(asked.sentAt, job.id)
 	job.mu.Lock()
 	defer job.mu.Unlock()
 	job.accepted = true
