--- a/internal/controller/invariants.go
+++ b/internal/controller/invariants.go
@@ -1,10 +1,6 @@
 package controller
 
-import (
-	"time"
-
-	"github.com/yarrowgap/yarrowgap/internal/tuning"
-)
+import "time"
 
 // assertLeaseEnded checks, when another leader or the end of the lease becomes known to a leader,
 // that the lease of its term may have ended. The key-value store never ends a lease early, so the
@@ -20,17 +16,12 @@
 		"term", term, "reason", reason, "remaining_ms", remaining.Milliseconds())
 }
 
-// assertAnswered checks, when a query about a job was not answered, that others about it were not too
-// long ago, unless the key-value store did not serve this controller meanwhile. unanswered is for how
-// long all of them have failed.
-func (c *Controller) assertAnswered(id string, unanswered time.Duration) {
-	if unanswered < tuning.MaxUnansweredTime {
-		return
-	}
+// reportUnanswered reports that queries about a job have been unanswered for too long while the
+// key-value store served this controller.
+func (c *Controller) reportUnanswered(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reportViolation("queries about a job are answered while the key-value store serves",
-		"job", id, "unanswered_ms", unanswered.Milliseconds())
+	c.reportViolation("queries about a job are answered while the key-value store serves", "job", id)
 }
 
 // reportViolation counts and logs a violated invariant. Called with the lock held.
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -20,10 +20,11 @@
 		return jobNotFoundAnswer
 	}
 	answer := c.answerQuery(ctx, id, origin)
-	if answer.Status == http.StatusServiceUnavailable {
-		c.assertAnswered(id, c.queryGaps.failed(id, time.Now(), c.storeState()))
-	} else {
+	switch {
+	case answer.Status != http.StatusServiceUnavailable:
 		c.queryGaps.answered(id)
+	case c.queryGaps.failed(id, time.Now(), c.storeState()):
+		c.reportUnanswered(id)
 	}
 	return answer
 }
--- a/internal/controller/query_gaps.go
+++ b/internal/controller/query_gaps.go
@@ -21,6 +21,7 @@
 	firstFailedAt time.Time
 	lastFailedAt  time.Time
 	servedSince   time.Time // first failure since which the key-value store has served this controller
+	overLimit     bool      // whether that was tuning.MaxUnansweredTime ago or more at the last failure
 }
 
 // storeState is whether the key-value store serves this controller.
@@ -40,16 +41,16 @@
 	delete(g.byJob, id)
 }
 
-// failed records that a query about a job was not answered. It returns for how long all queries about
-// the job have failed while the key-value store served this controller; store is its
-// state now. A gap without a query for tuning.QueryGapExpiry has ended: the users may have asked
-// elsewhere.
-func (g *queryGaps) failed(id string, now time.Time, store storeState) (unansweredWhileServed time.Duration) {
+// failed records that a query about a job was not answered. It reports whether all queries about the
+// job have now failed for tuning.MaxUnansweredTime while the key-value store served this controller,
+// once in a gap; store is its state now. A gap without a query for tuning.QueryGapExpiry has ended: the
+// users may have asked elsewhere.
+func (g *queryGaps) failed(id string, now time.Time, store storeState) (limitReached bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	gap, known := g.byJob[id]
 	if !known && len(g.byJob) >= tuning.MaxQueryGaps {
-		return 0
+		return false
 	}
 	if !known || now.Sub(gap.lastFailedAt) > tuning.QueryGapExpiry {
 		gap.firstFailedAt, gap.servedSince = now, now
@@ -58,10 +59,12 @@
 		gap.servedSince = now
 	}
 	gap.lastFailedAt = now
+	wasOverLimit := gap.overLimit
+	gap.overLimit = now.Sub(gap.servedSince) >= tuning.MaxUnansweredTime
 	g.byJob[id] = gap
 	length := now.Sub(gap.firstFailedAt)
 	g.longestOfAll, g.longestRecent = max(g.longestOfAll, length), max(g.longestRecent, length)
-	return now.Sub(gap.servedSince)
+	return gap.overLimit && !wasOverLimit
 }
 
 // longest returns the longest gap of any job so far.
--- a/internal/controller/query_gaps_test.go
+++ b/internal/controller/query_gaps_test.go
@@ -52,29 +52,29 @@
 	}
 }
 
-func TestUnansweredTimeInAnOutageViolatesNoInvariant(t *testing.T) {
+func TestJobUnansweredAfterAnOutageReachesLimitOnce(t *testing.T) {
+	const outageS, intervalS = 60, 5
 	gaps, start := newQueryGaps(), time.Now()
-	var unanswered time.Duration
-	for second := 0; second < 200; second += 5 {
+	var reachedAt []int
+	for second := 0; second < 300; second += intervalS {
 		store := storeServing
-		if second < 60 {
+		if second < outageS {
 			store = storeFailing
 		}
-		unanswered = gaps.failed("run-000001", start.Add(time.Duration(second)*time.Second), store)
+		if gaps.failed("run-000001", start.Add(time.Duration(second)*time.Second), store) {
+			reachedAt = append(reachedAt, second)
+		}
 	}
-	if want := 140 * time.Second; unanswered != want {
-		t.Errorf("unanswered for %v while the store served, want %v", unanswered, want)
+	want := outageS - intervalS + int(tuning.MaxUnansweredTime.Seconds())
+	if len(reachedAt) != 1 || reachedAt[0] != want {
+		t.Errorf("limit reached at %v, want %d", reachedAt, want)
 	}
 }
 
 func TestJobUnansweredForLongViolatesInvariant(t *testing.T) {
 	c := newTestController(t)
-	c.assertAnswered("run-000001", tuning.MaxUnansweredTime-1)
-	if violations := c.MetricsView().InvariantViolations; violations != 0 {
-		t.Errorf("%d violations within the limit", violations)
-	}
-	c.assertAnswered("run-000001", tuning.MaxUnansweredTime)
+	c.reportUnanswered("run-000001")
 	if violations := c.MetricsView().InvariantViolations; violations != 1 {
-		t.Errorf("%d violations at the limit", violations)
+		t.Errorf("%d violations", violations)
 	}
 }
