Soak: a job is settled only when it was answered through the load balancer too

A build that answers health checks with 503 a second after its start passed: the controllers answered directly, and the run ended after 14 s, before a job could have gone unanswered for 75 s.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -170,6 +170,10 @@
 		t.Errorf("one of two controllers has answered, pending: %q", pending)
 	}
 	job.answeredAfterFaults[1] = true
+	if pending := u.pending(); len(pending) != 1 {
+		t.Errorf("nobody has answered through the load balancer, pending: %q", pending)
+	}
+	job.answeredAfterFaults[throughBalancer] = true
 	if pending := u.pending(); len(pending) != 0 {
 		t.Errorf("all have answered, pending: %q", pending)
 	}
--- a/internal/soak/users.go
+++ b/internal/soak/users.go
@@ -46,8 +46,8 @@
 	mu       sync.Mutex // guards the fields below
 	accepted bool
 	state    string // as last told, final states stay
-	// answeredAfterFaults is set for each controller that has answered a query sent after the last
-	// fault had ended.
+	// answeredAfterFaults is set for each controller, and for the load balancer, that has answered a
+	// query sent after the last fault had ended.
 	answeredAfterFaults map[int]bool
 }
 
@@ -190,7 +190,7 @@
 	}
 	faultsOver := u.faultsOver && asked.afterFaults
 	u.mu.Unlock()
-	if answered && faultsOver && controller != throughBalancer {
+	if answered && faultsOver {
 		job.mu.Lock()
 		job.answeredAfterFaults[controller] = true
 		job.mu.Unlock()
@@ -331,7 +331,7 @@
 }
 
 // pending describes the accepted jobs for which something is still to happen after the faults: an
-// answer at each controller, and the end of a job that is no service.
+// answer at each controller and through the load balancer, and the end of a job that is no service.
 func (u *users) pending() []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -343,8 +343,8 @@
 		job.mu.Lock()
 		answers, state := len(job.answeredAfterFaults), job.state
 		job.mu.Unlock()
-		if answers < len(u.cluster.userAddrs) || !job.ended() && !(job.service && state == wire.JobRunning) {
-			pending = append(pending, fmt.Sprintf("%s: %s, answered by %d controllers after the faults", job.id, state, answers))
+		if answers < len(u.cluster.userAddrs)+1 || !job.ended() && !(job.service && state == wire.JobRunning) {
+			pending = append(pending, fmt.Sprintf("%s: %s, answered in %d ways after the faults", job.id, state, answers))
 		}
 	}
 	return pending
