--- a/internal/simulator/link.go
+++ b/internal/simulator/link.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -43,9 +45,13 @@
 	return config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 }
 
-// NewLink listens on a free loopback port and forwards to target until Close.
+// NewLink listens on a random address of the loopback range and forwards to target until Close. No
+// connection is opened from that address, so that the port stays free while the link refuses
+// connections.
 func NewLink(target string) (*Link, error) {
-	listener, err := ListenLoopback()
+	var config net.ListenConfig
+	addr := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254)) //nolint:gosec // no secret
+	listener, err := config.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
