Count transactions by outcome and log rejected ones with their sizes

The client of the key-value store now counts all transactions by outcome (store_transactions_total, and an info line every 10 s in which some were not executed), and reports each rejected one with its operations, its largest value and its size, logged at most every 10 s. ErrMalformedRequest is now ErrRejected: a well-formed transaction gets 400 when it is too large.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -109,6 +109,7 @@
 		connections:     func() ConnectionCounts { return ConnectionCounts{} },
 		workerCallSlots: make(chan struct{}, maxConcurrentWorkerCalls(cfg)),
 	}
+	c.store.OnRejection = (&rejectionLog{log: log}).record
 	c.membership = newMembership(cfg.Peers, c.store.UnavailableFor)
 	c.jobSync = newJobSync(c)
 	return c
--- a/internal/controller/executor.go
+++ b/internal/controller/executor.go
@@ -54,9 +54,6 @@
 	if err != nil {
 		logCallFailure(c.log, "transaction failed", err, "keys", failedKeys)
 	}
-	if errors.Is(err, kvstore.ErrMalformedRequest) {
-		c.log.Error("transaction called malformed by the key-value store", "err", err)
-	}
 	c.updateScheduler(e.scheduler, func(now scheduler.Now) {
 		e.scheduler.CommitEnded(now, request.ID, commitResult(err), revision, failedKeys)
 	})
--- a/internal/controller/golden_test.go
+++ b/internal/controller/golden_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/yarrowgap/yarrowgap/internal/golden"
+	"github.com/yarrowgap/yarrowgap/internal/kvstore"
 )
 
 // TestOperatorResponsesMatchGoldenFiles covers the JSON that the operator API returns about the
@@ -16,6 +17,8 @@
 
 		"connections":   &ConnectionCounts{},
 		"health_checks": &HealthCheckSummary{},
+
+		"store_transactions": &kvstore.CommitCounts{},
 	}
 	var all []any
 	for name, response := range responses {
--- a/internal/controller/request_outcomes.go
+++ b/internal/controller/request_outcomes.go
@@ -28,6 +28,7 @@
 	outcomeStoreRateLimited requestOutcome = "key-value store: rate limit"
 	outcomeStoreUnavailable requestOutcome = "key-value store: unavailable"
 	outcomeStoreUnknown     requestOutcome = "key-value store: answer lost"
+	outcomeStoreRejected    requestOutcome = "key-value store: too large or malformed"
 	outcomeUndecided        requestOutcome = "undecided for another reason"
 )
 
@@ -43,6 +44,8 @@
 		return outcomeStoreUnavailable
 	case errors.Is(cause, kvstore.ErrOutcomeUnknown):
 		return outcomeStoreUnknown
+	case errors.Is(cause, kvstore.ErrRejected):
+		return outcomeStoreRejected
 	}
 	return outcomeUndecided
 }
@@ -74,12 +77,13 @@
 }
 
 // requestReporter logs at intervals how many users' requests were not answered locally, and why,
-// and what load balancers saw. It runs in one goroutine, without the lock.
+// what load balancers saw, and which transactions the key-value store did not execute. It runs in one goroutine, without the lock.
 type requestReporter struct {
 	controller          *Controller
 	reported            map[string]uint64
 	reportedUnanswered  uint64
 	reportedChecks      HealthCheckSummary
+	reportedCommits     kvstore.CommitCounts
 	reportedConnections ConnectionCounts
 }
 
@@ -88,9 +92,24 @@
 	for sleep(ctx, tuning.RequestReportInterval) {
 		r.report()
 		r.reportHealthChecks()
+		r.reportTransactions()
 	}
 }
 
+// reportTransactions logs a line if transactions were refused for another reason than a conflict,
+// or were not answered, since the last report.
+func (r *requestReporter) reportTransactions() {
+	counts := r.controller.store.CommitCounts()
+	increase := counts.Since(r.reportedCommits)
+	r.reportedCommits = counts
+	if increase.NotExecuted() == 0 {
+		return
+	}
+	r.controller.log.Info("transactions not executed by the key-value store",
+		"executed", increase.Executed, "rejected", increase.Rejected, "rate_limited", increase.RateLimited,
+		"unavailable", increase.Unavailable, "unknown", increase.Unknown)
+}
+
 // reportHealthChecks logs a line if a load balancer may have counted a health check as failed, or if
 // connections were refused, since the last report.
 func (r *requestReporter) reportHealthChecks() {
--- a/internal/controller/request_outcomes_test.go
+++ b/internal/controller/request_outcomes_test.go
@@ -34,6 +34,7 @@
 		kvstore.ErrRateLimited:    outcomeStoreRateLimited,
 		kvstore.ErrUnavailable:    outcomeStoreUnavailable,
 		kvstore.ErrOutcomeUnknown: outcomeStoreUnknown,
+		kvstore.ErrRejected:       outcomeStoreRejected,
 		errMachineTypesUnknown:    outcomeUndecided,
 	} {
 		if got := undecidedOutcome(fmt.Errorf("query: %w", cause)); got != want {
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -7,6 +7,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/yarrowgap/yarrowgap/internal/kvstore"
 	"github.com/yarrowgap/yarrowgap/internal/reconcile"
 	"github.com/yarrowgap/yarrowgap/internal/scheduler"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
@@ -162,6 +163,8 @@
 	// without answering.
 	LongestUnansweredMilli int64  `json:"longest_unanswered_ms"`
 	InvariantViolations    uint64 `json:"invariant_violations_total"`
+	// StoreTransactions counts this controller's transactions at the key-value store by outcome.
+	StoreTransactions kvstore.CommitCounts `json:"store_transactions_total"`
 }
 
 // MetricsView returns the metrics of this process.
@@ -192,5 +195,6 @@
 		Connections:                   c.connections(),
 		LongestUnansweredMilli:        c.queryGaps.longest().Milliseconds(),
 		InvariantViolations:           c.metrics.invariantViolations,
+		StoreTransactions:             c.store.CommitCounts(),
 	}
 }
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -34,8 +34,9 @@
 	// ErrCompacted means that a watch cannot return all changes since its start revision: the
 	// store no longer keeps them, or they exceed the limit on the size of a response.
 	ErrCompacted = errors.New("revision compacted")
-	// ErrMalformedRequest means that the store rejected the request as malformed.
-	ErrMalformedRequest = errors.New("key-value store rejected the request as malformed")
+	// ErrRejected means that the transaction was not executed: it exceeds one of the store's size
+	// limits, or is malformed.
+	ErrRejected = errors.New("key-value store rejected the transaction as too large or malformed")
 )
 
 // leaseNotFoundMessage is the store's error message for a transaction with a lease that has ended.
@@ -43,10 +44,15 @@
 
 // Client sends requests to the key-value store. It is safe for concurrent use.
 type Client struct {
+	// OnRejection is called for each transaction that the store rejects with ErrRejected. It may
+	// be nil, and must be set before the first call of Commit.
+	OnRejection func(Rejection)
+
 	baseURL string
 	rpc     *rpc.Client
 	budget  *requestBudget
 	health  healthTracker
+	commits commitCounter
 }
 
 // New returns a client for the store at addr that sends at most requestsPerSecond on average.
@@ -65,6 +71,9 @@
 // request whose result is known.
 func (c *Client) UnavailableFor() time.Duration { return c.health.unavailableFor() }
 
+// CommitCounts returns how many transactions of this client had each outcome.
+func (c *Client) CommitCounts() CommitCounts { return c.commits.counts() }
+
 // call holds the parameters of one request.
 type call struct {
 	priority Priority
@@ -186,6 +195,10 @@
 	if err == nil {
 		err = commitError(status, reply)
 	}
+	c.commits.add(err)
+	if errors.Is(err, ErrRejected) && c.OnRejection != nil {
+		c.OnRejection(newRejection(txn, err))
+	}
 	if err != nil && !errors.Is(err, ErrConflict) {
 		return 0, nil, fmt.Errorf("commit: %w", err)
 	}
@@ -205,7 +218,7 @@
 	case status == http.StatusBadRequest && reply.Error == leaseNotFoundMessage:
 		return ErrLeaseNotFound
 	case status == http.StatusBadRequest:
-		return fmt.Errorf("%w: %s", ErrMalformedRequest, reply.Error)
+		return fmt.Errorf("%w: %s", ErrRejected, reply.Error)
 	}
 	return unexpectedStatus(status)
 }
--- a/internal/kvstore/client_test.go
+++ b/internal/kvstore/client_test.go
@@ -80,7 +80,7 @@
 		{"no revision", http.StatusOK, wire.TxnReply{}, ErrOutcomeUnknown},
 		{"conflict", http.StatusConflict, wire.TxnReply{Revision: 7, FailedKeys: []string{"a"}}, ErrConflict},
 		{"lease ended", http.StatusBadRequest, wire.TxnReply{Error: "no such lease"}, ErrLeaseNotFound},
-		{"malformed", http.StatusBadRequest, wire.TxnReply{Error: "too long"}, ErrMalformedRequest},
+		{"too large or malformed", http.StatusBadRequest, wire.TxnReply{Error: "too long"}, ErrRejected},
 		{"rate limited", http.StatusTooManyRequests, wire.TxnReply{}, ErrRateLimited},
 		{"unavailable", http.StatusServiceUnavailable, wire.TxnReply{}, ErrUnavailable},
 		{"unexpected", http.StatusTeapot, wire.TxnReply{}, ErrOutcomeUnknown},
--- a/internal/tuning/controller.go
+++ b/internal/tuning/controller.go
@@ -19,6 +19,9 @@
 	// RequestReportInterval is the interval of the message that counts users' requests that a
 	// controller did not answer itself.
 	RequestReportInterval = 10 * time.Second
+	// RejectionLogInterval is the minimum time between two messages about transactions that the
+	// key-value store rejected.
+	RejectionLogInterval = 10 * time.Second
 	// ReferenceCPUShare is the share of a core that the intervals of placement, scans and
 	// scale-out are intended for. With a smaller share they are longer in proportion.
 	ReferenceCPUShare = 0.2
