Make rejected transactions smaller instead of trying them again unchanged

Cause: a leader took 400 for an unknown outcome. It kept the batch in memory as possibly stored and queued the same attempts again; the next batch was at least as large, new attempts joined it, and ends and progress of jobs that shared its transaction were lost with it.

Why this works: a rejected transaction is certainly not stored, so its batches are dropped and its contents written again. For 2 s each write gets a transaction of its own, which shows whether the operations were too many (halved, when several writes were rejected together) or a value is too large (halved, when it was alone). A write that is rejected alone and cannot be made smaller waits for up to a minute between tries and holds up no other. A new leader finds the limits again in a few steps.

The simulated store has limits on values and whole transactions, and they can change.

--- /dev/null
+++ b/internal/api/store_limits_test.go
@@ -0,0 +1,70 @@
+package api_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/controller"
+	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/simulator"
+	"github.com/yarrowgap/yarrowgap/wire"
+)
+
+// lowKVStoreLimits are lower limits than those of the tests' settings. The assignments of
+// wideJobTasks machines do not fit into one value under them.
+var lowKVStoreLimits = simulator.KVStoreLimits{MaxTxnOps: 4, MaxValueBytes: 2 << 10, WriteRate: 100}
+
+const wideJobTasks = 30
+
+// newWideJob makes an array of tasks that each take a whole machine.
+func newWideJob(n int) *wire.Job {
+	job := newJob(n, wideJobTasks)
+	job.CPUs = 4
+	return job
+}
+
+// startClusterForWideJobs starts controllers whose team may use the machines of one wide job.
+func startClusterForWideJobs(t *testing.T, size int) *cluster {
+	t.Helper()
+	return startClusterWith(t, size, policy.Defaults(policy.CostInsensitive), 4*wideJobTasks)
+}
+
+// Guards against review case 1: after the key-value store had lowered its limits, the leader tried
+// a batch of assignments that was too large for them again for ever, so that nothing started.
+func TestJobsRunAfterStoreLowersItsLimits(t *testing.T) {
+	c := startClusterForWideJobs(t, 2)
+	before := newJob(1, 4)
+	c.simulation.UploadJob(before, 50*time.Millisecond)
+	c.submitUntilCreated(0, before)
+	c.waitUntilDone(1, before.ID)
+
+	c.simulation.SetKVStoreLimits(lowKVStoreLimits)
+	c.runWideJob(0, 2)
+	leader := c.leader()
+	if metrics := c.metrics(leader); metrics.StoreTransactions.Rejected == 0 {
+		t.Errorf("no rejected transaction was counted: %+v", metrics.StoreTransactions)
+	}
+	// The next leader has to find the limits for itself.
+	c.stopController(leader)
+	c.runWideJob(1-leader, 3)
+	c.expectNoViolations()
+}
+
+// runWideJob submits a wide job to controller i and waits until it says that the job is done.
+func (c *cluster) runWideJob(i, n int) {
+	c.tb.Helper()
+	job := newWideJob(n)
+	c.simulation.UploadJob(job, 50*time.Millisecond)
+	c.submitUntilAccepted(i, job)
+	c.waitUntilDone(i, job.ID)
+}
+
+// metrics returns the metrics of controller i.
+func (c *cluster) metrics(i int) (metrics controller.Metrics) {
+	c.tb.Helper()
+	if status := c.getOperatorView(i, "/metrics", &metrics); status != http.StatusOK {
+		c.tb.Fatalf("metrics of controller %d: status %d", i, status)
+	}
+	return metrics
+}
--- a/internal/controller/executor.go
+++ b/internal/controller/executor.go
@@ -67,6 +67,9 @@
 		return scheduler.CommitConflict
 	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrRateLimited):
 		return scheduler.CommitRefused
+	//mutation:rejected-transaction-is-not-executed
+	case errors.Is(err, kvstore.ErrRejected):
+		return scheduler.CommitRejected
 	}
 	return scheduler.CommitUnknown
 }
--- a/internal/controller/executor_test.go
+++ b/internal/controller/executor_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/cloud"
+	"github.com/yarrowgap/yarrowgap/internal/kvstore"
 	"github.com/yarrowgap/yarrowgap/internal/scheduler"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
@@ -41,6 +43,27 @@
 	}
 }
 
+// Guards against a transaction that was certainly not executed counting as one that may be stored:
+// what it would have written was kept in memory and tried again unchanged.
+func TestCommitResults(t *testing.T) {
+	for err, want := range map[error]scheduler.CommitResult{
+		nil:                       scheduler.CommitDone,
+		kvstore.ErrConflict:       scheduler.CommitConflict,
+		kvstore.ErrUnavailable:    scheduler.CommitRefused,
+		kvstore.ErrRateLimited:    scheduler.CommitRefused,
+		kvstore.ErrRejected:       scheduler.CommitRejected,
+		kvstore.ErrOutcomeUnknown: scheduler.CommitUnknown,
+		kvstore.ErrLeaseNotFound:  scheduler.CommitUnknown,
+	} {
+		if err != nil {
+			err = fmt.Errorf("commit: %w", err)
+		}
+		if got := commitResult(err); got != want {
+			t.Errorf("%v: result %v, want %v", err, got, want)
+		}
+	}
+}
+
 // The number of concurrent calls to workers is bounded by their share of the sockets, however many
 // machines have commands due.
 func TestDirectCallsAreBounded(t *testing.T) {
--- a/internal/mutation/mutation_test.go
+++ b/internal/mutation/mutation_test.go
@@ -94,7 +94,7 @@
 	var all []mutation
 	for _, part := range [][]mutation{
 		controllerMutations, leadershipMutations, heartbeatMutations, userAPIMutations,
-		placementMutations, loadMutations, faultMutations, reconcileMutations,
+		placementMutations, loadMutations, storeLimitMutations, faultMutations, reconcileMutations,
 	} {
 		all = append(all, part...)
 	}
--- /dev/null
+++ b/internal/mutation/store_limits_test.go
@@ -0,0 +1,24 @@
+package mutation_test
+
+// storeLimitMutations remove safeguards against writes that exceed the limits of the key-value
+// store.
+var storeLimitMutations = []mutation{
+	{
+		scenario: "the key-value store rejects a transaction as too large",
+		marker:   "rejected-transaction-is-not-executed",
+		operator: remove(),
+		test:     "internal/controller:^TestCommitResults$",
+	},
+	{
+		scenario: "one of several writes in a transaction is too large",
+		marker:   "rejected-writes-are-isolated",
+		operator: remove(),
+		test:     "internal/scheduler:^TestRecordRejectedAloneDelaysNoOtherWrite$",
+	},
+	{
+		scenario: "a batch of assignments is larger than a value may be",
+		marker:   "rejected-value-halves-limit",
+		operator: remove(),
+		test:     "internal/scheduler:^TestWorkGoesOnAfterStoreLowersItsLimits$",
+	},
+}
--- a/internal/scheduler/assignments.go
+++ b/internal/scheduler/assignments.go
@@ -21,6 +21,7 @@
 	neededBy         map[*attempt]bool // attempts without a later record
 	attemptCount     int               // number of attempts written
 	createdAt        time.Duration
+	singleRun        bool // a lower limit would not make the batch smaller
 	writeInFlight    bool
 	rewriteRequested bool       // see batchesToCompact
 	machines         []*machine // all machines that the batch names
@@ -92,7 +93,11 @@
 	if len(p.unrecorded) == 0 || p.now.Mono < p.nextBatchAt || !t.canAdd(1) {
 		return
 	}
-	queue := p.currentUnrecorded()
+	queue, delayed := p.currentUnrecorded()
+	if len(queue) == 0 {
+		p.unrecorded = delayed
+		return
+	}
 	slices.SortFunc(queue, compareForRecord)
 	for len(queue) > 0 && t.canAdd(1) {
 		written := p.addBatch(t, queue)
@@ -101,22 +106,24 @@
 		}
 		queue = queue[written:]
 	}
-	p.unrecorded = slices.Clone(queue)
+	p.unrecorded = slices.Concat(queue, delayed)
 	p.nextBatchAt = p.now.Mono + time.Duration(float64(time.Second)/(p.settings.WriteRate*tuning.BatchWriteShare))
 }
 
-// currentUnrecorded removes attempts that are gone from the queue, and returns the others.
-func (p *persister) currentUnrecorded() []*attempt {
-	queue := p.unrecorded[:0]
+// currentUnrecorded drops attempts that are gone, and returns the other unrecorded ones: those
+// that may be written now, and those whose next try is delayed.
+func (p *persister) currentUnrecorded() (queue, delayed []*attempt) {
 	for _, a := range p.unrecorded {
-		if a.machine.tasks[a.ref] == a {
-			queue = append(queue, a)
-		} else {
+		switch {
+		case a.machine.tasks[a.ref] != a:
 			a.assignment.queued = false
+		case p.now.Mono < a.assignment.rejection.until:
+			delayed = append(delayed, a)
+		default:
+			queue = append(queue, a)
 		}
 	}
-	clear(p.unrecorded[len(queue):])
-	return queue
+	return queue, delayed
 }
 
 // Ranks of attempts in the queue that follow the ranks of all job priorities.
@@ -148,7 +155,7 @@
 // addBatch writes one batch with as many attempts from the front of the queue as fit, and
 // returns their number.
 func (p *persister) addBatch(t *transaction, queue []*attempt) int {
-	encoder := newBatchEncoder(min(int(float64(p.settings.MaxValueBytes)*(1-tuning.ValueSizeMargin)), tuning.MaxBatchBytes))
+	encoder := newBatchEncoder(min(int(float64(p.limits.maxValueBytes)*(1-tuning.ValueSizeMargin)), tuning.MaxBatchBytes))
 	written := 0
 	for written < len(queue) && encoder.add(queue[written]) {
 		queue[written].assignment.queued = false
@@ -159,7 +166,7 @@
 	}
 	p.nextEffectID++
 	b := p.trackBatch(records.BatchKey(p.term, p.nextEffectID))
-	b.attemptCount, b.writeInFlight = written, true
+	b.attemptCount, b.singleRun, b.writeInFlight = written, encoder.hasSingleRun(), true
 	for _, a := range queue[:written] {
 		b.neededBy[a] = true
 	}
@@ -185,6 +192,9 @@
 		p.batchStored(b, dispatcher)
 	case outcome.result == CommitUnknown || outcome.conflictingKeys[b.key]:
 		p.batchPossiblyStored(b)
+	case outcome.result == CommitRejected && outcome.alone && b.singleRun:
+		p.delayRejectedAttempts(b)
+		p.batchNotStored(b)
 	default:
 		p.batchNotStored(b)
 	}
@@ -217,6 +227,15 @@
 	p.deleteIfUnneeded(b)
 }
 
+// delayRejectedAttempts delays the next try to record the attempts of a batch that cannot be made
+// smaller.
+func (p *persister) delayRejectedAttempts(b *assignmentBatch) {
+	for a := range b.neededBy {
+		delay := a.assignment.rejection.extend(p.now.Mono)
+		p.logInfo("assignment rejected by the key-value store", "task", a.ref.String(), "machine", a.machine.name, "retry_in_s", delay.Seconds())
+	}
+}
+
 // batchNotStored drops a batch that was not written, and queues its attempts again.
 func (p *persister) batchNotStored(b *assignmentBatch) {
 	p.queueUnrecorded(b)
@@ -228,7 +247,7 @@
 // tuning.MaxCompactedAttempts or the attempts of one batch at a time. Otherwise the records of
 // ended attempts would fill up the store, and a new leader would have to read them.
 func (p *persister) compactBatches() {
-	if len(p.unrecorded) > 0 || p.writeBudget.tokens < p.settings.WriteRate*tuning.StoreWriteRateShare/2 {
+	if p.recordsAreDue() || p.writeBudget.tokens < p.settings.WriteRate*tuning.StoreWriteRateShare/2 {
 		return
 	}
 	queued := 0
@@ -245,6 +264,11 @@
 	}
 }
 
+// recordsAreDue reports whether an unrecorded attempt may be written now.
+func (p *persister) recordsAreDue() bool {
+	return slices.ContainsFunc(p.unrecorded, func(a *attempt) bool { return p.now.Mono >= a.assignment.rejection.until })
+}
+
 // batchesToCompact returns the batches to rewrite, those with the fewest needed attempts first:
 // batches with a requested rewrite and, if there are many batches, those of which at most a
 // quarter is needed.
@@ -277,7 +301,10 @@
 		return
 	}
 	cause := "write rate"
-	if p.now.Mono < p.blockedUntil+tuning.StoreRetryDelay {
+	switch {
+	case p.limits.isolated(p.now.Mono):
+		cause = "key-value store rejects writes as too large"
+	case p.now.Mono < p.blockedUntil+tuning.StoreRetryDelay:
 		cause = "key-value store refuses writes"
 	}
 	p.logInfo("starts wait for their assignment records", "cause", cause, "starts", len(p.unrecorded), "longest_s", delay.Seconds(), "changes_per_s", p.settings.WriteRate)
--- a/internal/scheduler/attempt.go
+++ b/internal/scheduler/attempt.go
@@ -41,6 +41,8 @@
 	durable bool               // a stored batch contains the attempt
 	queued  bool               // the attempt waits for the next batch to be written
 	batches []*assignmentBatch // batches that contain the attempt
+	// rejection delays the next batch with the attempt if the store has rejected one with it alone.
+	rejection rejectionBackoff
 }
 
 // startState tracks the latest start command of an attempt, with the conditions under which a
--- a/internal/scheduler/batchencoder.go
+++ b/internal/scheduler/batchencoder.go
@@ -71,6 +71,11 @@
 	return true
 }
 
+// hasSingleRun reports whether all attempts are in one run.
+func (e *batchEncoder) hasSingleRun() bool {
+	return len(e.machines) == 1 && len(e.machines[0].Runs) == 1
+}
+
 // maxAttemptBytes returns an upper bound of the bytes that an attempt with a new run adds.
 func (e *batchEncoder) maxAttemptBytes(a *attempt) int {
 	bytes := batchRunBytes + e.jobs.maxNameBytes(a.ref.jobID)
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -23,6 +23,7 @@
 	items         map[string]wire.KeyValue // stored items, by key
 	revision      uint64                   // revision of the last transaction
 	refuseCommits bool                     // refuse all transactions
+	storeLimits   *harnessStoreLimits      // reject larger transactions; nil: none is too large
 
 	pendingCalls      []DirectCall // direct calls without an answer yet
 	provisionRequests []ProvisionRequest
@@ -113,11 +114,32 @@
 		h.scheduler.CommitEnded(h.clock(), c.ID, CommitRefused, 0, nil)
 		return
 	}
+	if h.storeLimits != nil && h.storeLimits.rejects(c.Txn) {
+		h.scheduler.CommitEnded(h.clock(), c.ID, CommitRejected, 0, nil)
+		return
+	}
 	h.revision++
 	storeTransaction(h.t, h.items, c.Txn, h.revision)
 	h.scheduler.CommitEnded(h.clock(), c.ID, CommitDone, h.revision, nil)
 }
 
+// harnessStoreLimits are limits of a key-value store that the scheduler's settings do not name.
+type harnessStoreLimits struct {
+	maxOps, maxValueBytes int
+	rejections            int // transactions that exceeded a limit
+}
+
+func (l *harnessStoreLimits) rejects(txn wire.Txn) bool {
+	tooLarge := len(txn.Then) > l.maxOps || wire.JSONSize(txn) > wire.MaxBody
+	for _, op := range txn.Then {
+		tooLarge = tooLarge || op.Set != "" && wire.JSONSize(op.Value) > l.maxValueBytes
+	}
+	if tooLarge {
+		l.rejections++
+	}
+	return tooLarge
+}
+
 // storeTransaction applies the changes of a transaction to the stored items.
 func storeTransaction(tb testing.TB, items map[string]wire.KeyValue, transaction wire.Txn, revision uint64) {
 	tb.Helper()
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -47,9 +47,10 @@
 
 // jobWriteState tracks the writes of a job's records to the key-value store.
 type jobWriteState struct {
-	dirtySince     time.Duration  // when the first unwritten change was made; 0: none
-	inFlight       bool           // a transaction with the job's records is in flight
-	blockedUntil   time.Duration  // earliest time of the next write after a failed write
+	dirtySince     time.Duration // when the first unwritten change was made; 0: none
+	inFlight       bool          // a transaction with the job's records is in flight
+	blockedUntil   time.Duration // earliest time of the next write after a failed write
+	rejection      rejectionBackoff
 	chunkRevisions map[int]uint64 // mod revisions of bitmap chunks after the first, by chunk
 }
 
--- a/internal/scheduler/jobwrite.go
+++ b/internal/scheduler/jobwrite.go
@@ -177,6 +177,11 @@
 func (p *persister) jobWriteFailed(write jobWrite, outcome commitOutcome) {
 	j := write.job
 	j.write.blockedUntil = p.now.Mono + tuning.StoreRetryDelay
+	if outcome.result == CommitRejected && outcome.alone {
+		delay := j.write.rejection.extend(p.now.Mono)
+		j.write.blockedUntil = j.write.rejection.until
+		p.logInfo("job record rejected by the key-value store", "job", j.id, "ended", write.ended, "retry_in_s", delay.Seconds())
+	}
 	for _, chunk := range write.chunks {
 		if outcome.conflictingKeys[records.BitmapKey(j.id, chunk)] {
 			p.effects.Resign = ResignBitmapConflict
@@ -195,6 +200,7 @@
 
 func (p *persister) jobProgressWritten(write jobWrite, revision uint64) {
 	j := write.job
+	j.write.rejection = rejectionBackoff{}
 	chunks := write.chunks
 	for _, chunk := range chunks {
 		j.write.chunkRevisions[chunk] = revision
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -24,6 +24,7 @@
 	dirtyJobs         map[*job]bool                   // jobs with unsaved changes
 	unreadableRecords []string                        // keys of records that could not be decoded
 	obsoleteKeys      []string                        // keys to delete as the write budget allows
+	limits            storeLimits                     // the store's limits on a transaction
 	writeBudget       tokenBucket                     // one token per change
 	blockedUntil      time.Duration                   // earliest next write after a failed write
 }
@@ -34,6 +35,7 @@
 		inFlight:    map[uint64]*transactionContents{},
 		batches:     map[string]*assignmentBatch{},
 		dirtyJobs:   map[*job]bool{},
+		limits:      newStoreLimits(context.settings),
 		writeBudget: tokenBucket{tokens: context.settings.WriteRate, refilledAt: context.now.Mono},
 	}
 }
@@ -69,6 +71,7 @@
 func (p *persister) commit(t *transaction) {
 	p.writeBudget.spend(float64(t.opCount()))
 	p.nextEffectID++
+	t.contents.operations = t.opCount()
 	p.inFlight[p.nextEffectID] = &t.contents
 	p.effects.Commits = append(p.effects.Commits, Commit{ID: p.nextEffectID, Txn: t.request})
 }
@@ -94,6 +97,9 @@
 	CommitDone                  // executed at the reported revision
 	CommitConflict              // not executed: the reported keys have unexpected revisions
 	CommitRefused               // not executed: the key-value store refused it
+	// CommitRejected means that the transaction was not executed, and never will be: it is too
+	// large for the key-value store.
+	CommitRejected
 )
 
 // commitOutcome is the outcome of a transaction with its details.
@@ -101,6 +107,7 @@
 	result          CommitResult
 	revision        uint64          // revision of the changes, if they were executed
 	conflictingKeys map[string]bool // keys whose revision is not the expected one
+	alone           bool            // the transaction had a single write
 }
 
 func newCommitOutcome(result CommitResult, revision uint64, failedKeys []string) commitOutcome {
@@ -121,6 +128,7 @@
 		return
 	}
 	outcome := newCommitOutcome(result, revision, failedKeys)
+	outcome.alone = contents.writeCount() == 1
 	if outcome.conflictingKeys[records.LeaderKey] {
 		s.effects.Resign = ResignLeaderKeyLost
 		return
@@ -146,12 +154,17 @@
 	return contents
 }
 
-// handleCommitOutcome delays further writes after a refusal or an unknown outcome, and requeues
-// deletions that may not have been executed.
+// handleCommitOutcome delays further writes after a refusal or an unknown outcome, lowers the
+// limits after a rejection, and requeues deletions that may not have been executed.
 func (p *persister) handleCommitOutcome(contents *transactionContents, outcome commitOutcome) {
-	if outcome.result == CommitRefused || outcome.result == CommitUnknown {
+	if outcome.result != CommitDone && outcome.result != CommitConflict {
 		p.blockedUntil = p.now.Mono + tuning.StoreRetryDelay
 	}
+	if outcome.result == CommitRejected {
+		p.limits.lower(p.now.Mono, contents)
+		p.logInfo("key-value store rejects writes as too large", "writes", contents.writeCount(), "operations", contents.operations,
+			"largest_value_bytes", contents.largestValueBytes, "max_operations", p.limits.maxOps, "max_value_bytes", p.limits.maxValueBytes)
+	}
 	if outcome.result != CommitDone {
 		p.queueDeletion(contents.deletedKeys...)
 	}
--- /dev/null
+++ b/internal/scheduler/store_limits.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
+)
+
+const (
+	// minTransactionOps is the number of operations that the end of a job takes.
+	minTransactionOps = 2
+	// minValueBytes is the lowest limit on values that rejections lead to. A batch with the
+	// assignment of a single task is not much larger.
+	minValueBytes = 256
+)
+
+// storeLimits holds the key-value store's limits on a transaction as this term knows them. They
+// begin as those of the settings. The store may have lower ones, and shows that only by rejecting
+// a transaction; within a term, limits that were lowered are not raised again.
+type storeLimits struct {
+	maxOps        int           // changes in a transaction
+	maxValueBytes int           // size of a value in JSON
+	isolatedUntil time.Duration // until then, each write gets a transaction of its own
+}
+
+func newStoreLimits(settings Settings) storeLimits {
+	return storeLimits{maxOps: settings.MaxTransactionOps, maxValueBytes: settings.MaxValueBytes}
+}
+
+// lower lowers the limits after the store has rejected a transaction with the given contents. A
+// transaction with several writes may have had too many operations, or one of the writes may be
+// too large: isolating the writes for a while shows which. A write that is rejected alone is too
+// large.
+func (l *storeLimits) lower(now time.Duration, contents *transactionContents) {
+	//mutation:rejected-writes-are-isolated
+	l.isolatedUntil = now + tuning.RejectionIsolation
+	if contents.writeCount() > 1 {
+		l.maxOps = min(l.maxOps, max(minTransactionOps, contents.operations/2))
+		return
+	}
+	if contents.largestValueBytes > 0 {
+		//mutation:rejected-value-halves-limit
+		l.maxValueBytes = min(l.maxValueBytes, max(minValueBytes, contents.largestValueBytes/2))
+	}
+}
+
+// isolated reports whether each write has to get a transaction of its own.
+func (l *storeLimits) isolated(now time.Duration) bool { return now < l.isolatedUntil }
+
+// rejectionBackoff delays the next try of a write that the store has rejected although it was
+// alone in its transaction, so that it does not hold up the writes that the store accepts.
+type rejectionBackoff struct {
+	rejections int           // in a row
+	until      time.Duration // earliest time of the next try; 0: at once
+}
+
+// maxRejectionDoublings keeps the shift in extend from overflowing.
+const maxRejectionDoublings = 16
+
+// extend doubles the delay, up to tuning.MaxRejectionBackoff, and returns it.
+func (b *rejectionBackoff) extend(now time.Duration) time.Duration {
+	delay := min(tuning.MaxRejectionBackoff, tuning.StoreRetryDelay<<min(b.rejections, maxRejectionDoublings))
+	b.rejections++
+	b.until = now + delay
+	return delay
+}
--- a/internal/scheduler/transaction.go
+++ b/internal/scheduler/transaction.go
@@ -14,6 +14,7 @@
 	contents   transactionContents
 	valueBytes int     // estimated size of the values
 	maxOps     int     // the key-value store's limit on changes per transaction
+	isolated   bool    // the transaction has at most one write
 	budget     float64 // changes that the write budget allows now
 }
 
@@ -22,10 +23,18 @@
 	batches     []*assignmentBatch
 	jobWrites   []jobWrite
 	deletedKeys []string
+
+	operations        int
+	largestValueBytes int // estimated size of the largest value; 0: there are only deletions
+}
+
+// writeCount returns the number of batches, jobs and deletions, which can be written separately.
+func (c *transactionContents) writeCount() int {
+	return len(c.batches) + len(c.jobWrites) + len(c.deletedKeys)
 }
 
 func (p *persister) newTransaction() *transaction {
-	t := &transaction{maxOps: p.settings.MaxTransactionOps, budget: p.writeBudget.tokens}
+	t := &transaction{maxOps: p.limits.maxOps, isolated: p.limits.isolated(p.now.Mono), budget: p.writeBudget.tokens}
 	//mutation:transaction-needs-leadership
 	t.expect(records.LeaderKey, p.term)
 	return t
@@ -33,6 +42,9 @@
 
 // canAdd reports whether the transaction stays within its limits with n more changes.
 func (t *transaction) canAdd(n int) bool {
+	if t.isolated && t.opCount() > 0 {
+		return false
+	}
 	//mutation:write-budget
 	return t.opCount()+n <= t.maxOps && t.valueBytes < tuning.MaxTxnBytes && float64(t.opCount()+n) <= t.budget
 }
@@ -51,6 +63,7 @@
 func (t *transaction) set(key string, value any, bytes int) {
 	t.request.Then = append(t.request.Then, wire.Op{Set: key, Value: value})
 	t.valueBytes += bytes
+	t.contents.largestValueBytes = max(t.contents.largestValueBytes, bytes)
 }
 
 func (t *transaction) delete(key string) {
--- a/internal/simulator/faults.go
+++ b/internal/simulator/faults.go
@@ -86,6 +86,21 @@
 	return statuses
 }
 
+// SetKVStoreLimits changes the limits of the key-value store. What is stored stays readable.
+func (d *Deployment) SetKVStoreLimits(limits KVStoreLimits) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.kvStore.KVStoreLimits = limits
+}
+
+// RejectedTransactions returns how many transactions exceeded the key-value store's limits on
+// sizes.
+func (d *Deployment) RejectedTransactions() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.kvStore.RejectedTransactions()
+}
+
 // StartKVStoreOutage makes the key-value store refuse every request; a watch is refused after the
 // time for which it may block. No lease expires until EndKVStoreOutage.
 func (d *Deployment) StartKVStoreOutage() {
--- a/internal/simulator/kv_store.go
+++ b/internal/simulator/kv_store.go
@@ -13,15 +13,23 @@
 // number of its operations.
 const maxComparesPerOp = 4
 
+// KVStoreLimits are the limits of a key-value store, which may change while it runs.
+type KVStoreLimits struct {
+	MaxTxnOps int // maximum number of operations in a transaction
+	// MaxValueBytes is the maximum size of a value in JSON. 0 means no limit.
+	MaxValueBytes int
+	// WriteRate is the maximum number of puts and deletes per second. The maximum burst is what
+	// the rate allows in one second. 0 means no limit.
+	WriteRate float64
+}
+
 // KVStore simulates the key-value store.
 type KVStore struct {
 	Revision    uint64 // revision of the last change
 	Unavailable bool   // whether there is an outage: callers refuse requests, and no lease expires
-	MaxTxnOps   int    // maximum number of operations in a transaction
-	// WriteRate is the maximum number of puts and deletes per second. The maximum burst is what
-	// the rate allows in one second. 0 means no limit.
-	WriteRate float64
+	KVStoreLimits
 
+	rejected             int           // transactions that exceeded a limit on sizes
 	writeBudget          float64       // puts and deletes that WriteRate allows at writeBudgetUpdatedAt
 	writeBudgetUpdatedAt time.Duration // when writeBudget was last computed
 	items                map[string]wire.KeyValue
@@ -34,7 +42,7 @@
 // NewKVStore returns an empty store that keeps the last maxLogEntries changes for watches.
 func NewKVStore(maxTxnOps, maxLogEntries int) *KVStore {
 	return &KVStore{
-		MaxTxnOps:     maxTxnOps,
+		KVStoreLimits: KVStoreLimits{MaxTxnOps: maxTxnOps},
 		items:         map[string]wire.KeyValue{},
 		leases:        map[uint64]*lease{},
 		maxLogEntries: maxLogEntries,
@@ -83,8 +91,9 @@
 // Commit runs a transaction and returns the HTTP status and the reply that the protocol specifies.
 func (s *KVStore) Commit(now time.Duration, txn wire.Txn) (status int, reply wire.TxnReply) {
 	s.ExpireLeases(now)
-	if len(txn.Then) > s.MaxTxnOps || len(txn.If) > maxComparesPerOp*s.MaxTxnOps {
-		return http.StatusBadRequest, wire.TxnReply{Error: "too many operations"}
+	if problem := s.exceededLimit(txn); problem != "" {
+		s.rejected++
+		return http.StatusBadRequest, wire.TxnReply{Error: problem}
 	}
 	if !s.consumeWriteBudget(now, len(txn.Then)) {
 		return http.StatusTooManyRequests, wire.TxnReply{Error: "too many writes"}
@@ -101,6 +110,32 @@
 	return http.StatusOK, wire.TxnReply{Revision: s.Revision}
 }
 
+// RejectedTransactions returns the number of transactions that exceeded a limit on sizes.
+func (s *KVStore) RejectedTransactions() int { return s.rejected }
+
+// exceededLimit describes which limit on sizes a transaction exceeds, or returns "" if there is
+// none. Limits on bytes refer to the JSON encoding.
+func (s *KVStore) exceededLimit(txn wire.Txn) string {
+	if len(txn.Then) > s.MaxTxnOps || len(txn.If) > maxComparesPerOp*s.MaxTxnOps {
+		return "too many operations"
+	}
+	bytes := 0
+	for _, compare := range txn.If {
+		bytes += wire.JSONSize(compare)
+	}
+	for _, op := range txn.Then {
+		valueBytes := valueSize(op.Value)
+		if s.MaxValueBytes > 0 && valueBytes > s.MaxValueBytes {
+			return "the value is too large"
+		}
+		bytes += len(op.Set) + len(op.Delete) + valueBytes
+	}
+	if bytes > wire.MaxBody {
+		return "the transaction is too large"
+	}
+	return ""
+}
+
 // consumeWriteBudget subtracts a number of operations from the write budget, or returns false if
 // the budget is too small. The operations of a transaction whose compares fail count as well.
 func (s *KVStore) consumeWriteBudget(now time.Duration, operations int) bool {
--- a/internal/tuning/kvstore.go
+++ b/internal/tuning/kvstore.go
@@ -8,6 +8,11 @@
 	StoreTimeout = 1200 * time.Millisecond
 	// StoreRetryDelay is the pause after a refusal or a lost answer.
 	StoreRetryDelay = 250 * time.Millisecond
+	// RejectionIsolation is how long each write of the leader gets a transaction of its own after
+	// the store has rejected a transaction as too large. MaxRejectionBackoff bounds the pause
+	// before a write is tried again that was rejected although it was alone.
+	RejectionIsolation  = 2 * time.Second
+	MaxRejectionBackoff = time.Minute
 	// StoreRequestRateShare is the largest share of the deployment's request rate that one
 	// controller takes on average. StoreWriteRateShare is the largest share of the write rate
 	// that the leader takes. The rest is for submissions at the other controllers.
