Bound the size of assignment batches whatever users name their images

A user's job may name an image with 200 bytes; a machine's record lists up to six images.

The size of a batch was estimated with one byte for each byte of a name, but JSON, to which the store's limits refer, takes six for '<' or a control character, and encoders may escape all characters outside ASCII. And the first assignment of a batch was added whatever its size: six images of 200 bytes alone exceed 2 KiB less the margin together with the rest.

Evidence: TestBatchWithNamesOfUsersFitsValueLimit fails without either part (rows in internal/mutation).

Why this works: sizes are upper bounds for any encoder, wire.JSONSize as well; a first assignment that does not fit with its machine's images is written without them. They only help a new leader place tasks where their images are.

--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -21,4 +21,18 @@
 		operator: remove(),
 		test:     "internal/scheduler:^TestWorkGoesOnAfterStoreLowersItsLimits$",
 	},
+	{
+		scenario: "users name images with characters that JSON escapes",
+		marker:   "escaped-name-size",
+		operator: replaceExpr("len(name) + batchNameBytes"),
+		test:     batchOfUsersNamesTest,
+	},
+	{
+		scenario: "a machine holds images with long names, and values are small",
+		marker:   "batch-without-images",
+		operator: remove(),
+		test:     batchOfUsersNamesTest,
+	},
 }
+
+const batchOfUsersNamesTest = "internal/scheduler:^TestBatchWithNamesOfUsersFitsValueLimit$"
--- a/internal/scheduler/assignments_test.go
+++ b/internal/scheduler/assignments_test.go
@@ -90,6 +90,38 @@
 	}
 }
 
+// Guards against names with characters that JSON escapes, and against long names of images: a user
+// who submits a job with such an image must not stop all starts. The size of a batch stays within
+// the limit, also for a single attempt.
+func TestBatchWithNamesOfUsersFitsValueLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		types := []wire.MachineType{{Name: "small", CacheGB: 50}}
+		scheduler := New(Now{}, Settings{}, 1, NewReplica(), nil, nil, types)
+		limit := rapid.IntRange(600, 2000).Draw(t, "limit")
+		encoder := newBatchEncoder(limit)
+		imageName := rapid.StringOfN(rapid.RuneFrom([]rune("a<>&\"\\\x00\x1f\u007f\u00e4\u20ac\U0001F600")), 40, 200, 200)
+		for i := range rapid.IntRange(1, 30).Draw(t, "machines") {
+			m := scheduler.cluster.addMachine(fmt.Sprintf("n-%06d", i), "small", "zone", false, "10.1.0.232:9000")
+			for range rapid.IntRange(0, tuning.MaxRecordedImages).Draw(t, "images") {
+				m.addImage(imageName.Draw(t, "image"), 1)
+			}
+			j := &job{id: fmt.Sprintf("run-%06d", i)}
+			if !encoder.add(&attempt{ref: taskRef{j.id, 0}, job: j, machine: m, number: uint64(i)}) {
+				break
+			}
+		}
+		batch := encoder.finish()
+		if size := wire.JSONSize(batch); size > limit || size > encoder.size {
+			t.Fatalf("%d machines take %d bytes, limit %d, estimate %d", len(batch.Machines), size, limit, encoder.size)
+		}
+		for _, image := range batch.Images {
+			if got, bound := wire.JSONSize(image), wire.JSONTextSize(image)+len(`""`); got > bound {
+				t.Fatalf("%q takes %d bytes, bound %d", image, got, bound)
+			}
+		}
+	})
+}
+
 // The estimated size of a batch is never below its real size, whatever the batch contains, and
 // a new leader restores the batch as it was written.
 func TestAssignmentBatchFitsValueLimit(t *testing.T) {
--- a/internal/scheduler/batchencoder.go
+++ b/internal/scheduler/batchencoder.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/yarrowgap/yarrowgap/internal/records"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
+	"github.com/yarrowgap/yarrowgap/wire"
 )
 
 // Indexes into a run of records.BatchMachine, which stands for consecutive tasks of a job whose
@@ -29,7 +30,8 @@
 	machineIndex               map[*machine]int
 	types, zones, jobs, images nameTable
 	attempts                   []*attempt
-	size, limit                int // in bytes; size is an upper bound
+	size, limit                int  // in bytes; size is an upper bound
+	omitImages                 bool // the machines' images do not fit
 }
 
 func newBatchEncoder(limit int) *batchEncoder {
@@ -37,12 +39,18 @@
 }
 
 // add adds an attempt and reports whether it fits within the limit. The first attempt is always
-// added.
+// added. If it does not fit with its machine's images, the batch has none: users choose their names,
+// and a new leader only uses them to place tasks where their images are.
 func (e *batchEncoder) add(a *attempt) bool {
 	if !e.extendLastRun(a) {
 		bytes := e.maxAttemptBytes(a)
-		if e.size+bytes > e.limit && len(e.attempts) > 0 {
-			return false
+		if e.size+bytes > e.limit {
+			if len(e.attempts) > 0 {
+				return false
+			}
+			//mutation:batch-without-images
+			e.omitImages = true
+			bytes = e.maxAttemptBytes(a)
 		}
 		e.size += bytes
 		entry := e.machineEntry(a)
@@ -83,8 +91,8 @@
 	if _, known := e.machineIndex[m]; known {
 		return bytes
 	}
-	images := recordedImages(m)
-	bytes += batchMachineBytes + len(m.name) + len(m.address) + batchNameBytes*len(images)
+	images := e.recordedImages(m)
+	bytes += batchMachineBytes + wire.JSONTextSize(m.name) + wire.JSONTextSize(m.address) + batchNameBytes*len(images)
 	bytes += e.types.maxNameBytes(m.machineType) + e.zones.maxNameBytes(m.zone)
 	for _, image := range images {
 		bytes += e.images.maxNameBytes(image.name)
@@ -98,7 +106,7 @@
 	index, known := e.machineIndex[m]
 	if !known {
 		entry := records.BatchMachine{Name: m.name, Type: e.types.intern(m.machineType), Zone: e.zones.intern(m.zone), Spot: m.spot, Address: m.address}
-		for _, image := range recordedImages(m) {
+		for _, image := range e.recordedImages(m) {
 			entry.Images = append(entry.Images, e.images.intern(image.name))
 		}
 		index = len(e.machines)
@@ -110,7 +118,10 @@
 
 // recordedImages returns the images of a machine that are recorded: the most recently used
 // ones.
-func recordedImages(m *machine) []cachedImage {
+func (e *batchEncoder) recordedImages(m *machine) []cachedImage {
+	if e.omitImages {
+		return nil
+	}
 	return m.images[max(0, len(m.images)-tuning.MaxRecordedImages):]
 }
 
@@ -156,5 +167,6 @@
 	if _, ok := t.indexes[name]; ok {
 		return 0
 	}
-	return len(name) + batchNameBytes
+	//mutation:escaped-name-size
+	return wire.JSONTextSize(name) + batchNameBytes
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"errors"
 	"math"
+	"strings"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -62,14 +64,47 @@
 // Raw is an undecoded CBOR value.
 type Raw = cbor.RawMessage
 
-// JSONSize returns the size of v encoded as JSON, in bytes. The protocol's size limits refer to
-// the JSON encoding. A value that cannot be encoded counts as larger than any limit.
+// JSONSize returns an upper bound of the size of v encoded as JSON, in bytes. The protocol's size
+// limits refer to the JSON encoding. A value that cannot be encoded counts as larger than any limit.
 func JSONSize(v any) int {
 	b, err := json.Marshal(v)
 	if err != nil {
 		return math.MaxInt
 	}
-	return len(b)
+	size := len(b)
+	for _, c := range b {
+		if c >= utf8.RuneSelf {
+			size += maxEscapedByte - 1
+		}
+	}
+	return size
 }
 
+const (
+	// maxEscapedByte is the most bytes that an encoder writes for one byte of a character outside
+	// ASCII: six for a character of two bytes.
+	maxEscapedByte = 3
+	// escapedASCIIBytes is the size of an escaped ASCII character, as in \u003c.
+	escapedASCIIBytes = 6
+)
+
+// JSONTextSize returns an upper bound of the size of a text encoded as JSON, in bytes, without the
+// quotes, whichever characters the encoder escapes.
+func JSONTextSize(text string) int {
+	size := 0
+	for i := range len(text) {
+		switch c := text[i]; {
+		case c >= utf8.RuneSelf:
+			size += maxEscapedByte
+		case c < ' ' || strings.IndexByte(`"\<>&'`, c) >= 0 || c == deleteCharacter:
+			size += escapedASCIIBytes
+		default:
+			size++
+		}
+	}
+	return size
+}
+
+const deleteCharacter = 0x7f
+
 func isFinite(f float64) bool { return !math.IsNaN(f) && !math.IsInf(f, 0) }
