Write jobs' progress by the real sizes of their records

What callers would see: a job whose description is long runs, but its completed tasks are stored only with its end, or never; other jobs that share its transaction wait with it.

So a record that was stored under a higher limit on values was written again for ever, the progress of several long jobs in one transaction exceeded the store's 64 KiB, and a chunk of completed tasks that fits no value was tried again with each write.

Why this works: sizes are measured, keys and conditions included, and a transaction stays within 60 KiB. A chunk that fits nowhere delays only its job, and the log says so.

--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -33,6 +33,18 @@
 		operator: remove(),
 		test:     batchOfUsersNamesTest,
 	},
+	{
+		scenario: "a job's record was stored under a higher limit on values",
+		marker:   "large-job-record",
+		operator: setCondition(true),
+		test:     "internal/scheduler:^TestProgressOfJobOverValueLimitIsStored$",
+	},
+	{
+		scenario: "the completed tasks of a very large job fit no value",
+		marker:   "too-large-progress-waits",
+		operator: setCondition(true),
+		test:     "internal/scheduler:^TestTooLargeProgressDelaysNoOtherJob$",
+	},
 }
 
 const batchOfUsersNamesTest = "internal/scheduler:^TestBatchWithNamesOfUsersFitsValueLimit$"
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -5,12 +5,19 @@
 	"errors"
 	"fmt"
 
+	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
 // ErrInconsistent means that a record can be decoded, but has contents that are never written.
 var ErrInconsistent = errors.New("inconsistent record")
 
+// MaxBytes returns the size in JSON that a record may have under a limit on values. It leaves a
+// margin, because the store may measure sizes differently, and room for the rest of a transaction.
+func MaxBytes(maxValueBytes int) int {
+	return min(int(float64(maxValueBytes)*(1-tuning.ValueSizeMargin)), tuning.MaxTxnBytes-tuning.MaxTxnKeyBytes)
+}
+
 // Job is the record of a live job: the submission and the job's progress.
 type Job struct {
 	Job       wire.Job `cbor:"job" json:"job"`
--- a/internal/scheduler/assignments.go
+++ b/internal/scheduler/assignments.go
@@ -90,7 +90,7 @@
 // addAssignmentBatches writes the queued attempts, the highest priority first. Batches are
 // spaced in time so that attempts placed between two batches share the later one.
 func (p *persister) addAssignmentBatches(t *transaction) {
-	if len(p.unrecorded) == 0 || p.now.Mono < p.nextBatchAt || !t.canAdd(1) {
+	if len(p.unrecorded) == 0 || p.now.Mono < p.nextBatchAt || !t.canAdd(1, p.limits.maxBatchBytes()) {
 		return
 	}
 	queue, delayed := p.currentUnrecorded()
@@ -99,7 +99,7 @@
 		return
 	}
 	slices.SortFunc(queue, compareForRecord)
-	for len(queue) > 0 && t.canAdd(1) {
+	for len(queue) > 0 && t.canAdd(1, p.limits.maxBatchBytes()) {
 		written := p.addBatch(t, queue)
 		if written == 0 {
 			break // not reached: the first attempt always fits
@@ -155,7 +155,7 @@
 // addBatch writes one batch with as many attempts from the front of the queue as fit, and
 // returns their number.
 func (p *persister) addBatch(t *transaction, queue []*attempt) int {
-	encoder := newBatchEncoder(min(int(float64(p.limits.maxValueBytes)*(1-tuning.ValueSizeMargin)), tuning.MaxBatchBytes))
+	encoder := newBatchEncoder(p.limits.maxBatchBytes())
 	written := 0
 	for written < len(queue) && encoder.add(queue[written]) {
 		queue[written].assignment.queued = false
--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -51,7 +51,7 @@
 	inFlight       bool          // a transaction with the job's records is in flight
 	blockedUntil   time.Duration // earliest time of the next write after a failed write
 	rejection      rejectionBackoff
-	chunkRevisions map[int]uint64 // mod revisions of bitmap chunks after the first, by chunk
+	chunkRevisions map[int]uint64 // mod revisions of the bitmap chunks under keys of their own, by chunk
 }
 
 // taskIndices hands out the indices of tasks to place.
--- a/internal/scheduler/jobwrite.go
+++ b/internal/scheduler/jobwrite.go
@@ -12,19 +12,13 @@
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
-// Estimated sizes in bytes of the records of a job, without their bitmaps.
-const (
-	endedJobBytes  = 400
-	jobRecordBytes = 800
-)
-
 // jobWrite is the write of one job in a transaction, either of its end or of its progress.
 type jobWrite struct {
 	job            *job
 	ended          bool           // the job's end is written, not its progress
 	doneBits       records.Bitmap // the done tasks when the transaction was made
 	wroteJobRecord bool           // the job record with the first bitmap chunk is written
-	chunks         []int          // further chunks of the bitmap that are written
+	chunks         []int          // chunks of the bitmap that are written under keys of their own
 }
 
 // markDirty marks a job as having unsaved changes.
@@ -86,14 +80,15 @@
 		if !j.readyToArchive() || j.cancelled && p.mayBeInUnreadableRecord(j) {
 			continue
 		}
-		if !t.canAdd(2) {
+		endedJob := records.EndedJob{State: j.endState(), Done: j.progress.doneCount, Tasks: j.spec.Tasks, Class: j.spec.Class}
+		bytes := wire.JSONSize(endedJob)
+		if !t.canAdd(2, bytes) {
 			return
 		}
 		//mutation:job-end-conditions
 		t.expect(records.JobKey(j.id), j.modRevision)
 		t.delete(records.JobKey(j.id))
-		endedJob := records.EndedJob{State: j.endState(), Done: j.progress.doneCount, Tasks: j.spec.Tasks, Class: j.spec.Class}
-		t.set(records.EndedJobKey(j.id), endedJob, endedJobBytes)
+		t.set(records.EndedJobKey(j.id), endedJob, bytes)
 		j.write.inFlight = true
 		t.contents.jobWrites = append(t.contents.jobWrites, jobWrite{job: j, ended: true})
 	}
@@ -119,9 +114,14 @@
 			p.markClean(j)
 			continue
 		}
-		write := t.addChangedChunks(j)
+		write, tooLarge := p.addChangedChunks(t, j)
 		if !write.wroteJobRecord && len(write.chunks) == 0 {
-			return
+			//mutation:too-large-progress-waits
+			if !tooLarge {
+				return // no room
+			}
+			p.delayTooLargeProgress(j)
+			continue
 		}
 		j.write.inFlight = true
 		t.contents.jobWrites = append(t.contents.jobWrites, write)
@@ -129,31 +129,66 @@
 }
 
 // addChangedChunks writes the changed chunks of a job's done bitmap, as many as fit. The job's
-// next write has the others.
-func (t *transaction) addChangedChunks(j *job) jobWrite {
-	write := jobWrite{job: j, doneBits: slices.Clone(j.progress.done)}
+// next write has the others. tooLarge reports whether a chunk exceeds the limit on values, so that
+// it cannot be written at all.
+func (p *persister) addChangedChunks(t *transaction, j *job) (write jobWrite, tooLarge bool) {
+	write = jobWrite{job: j, doneBits: slices.Clone(j.progress.done)}
 	for chunk := range j.progress.done.ChunkCount() {
 		bits := j.progress.done.EncodeChunk(chunk)
 		if bits == j.progress.saved.EncodeChunk(chunk) {
 			continue
 		}
-		if !t.canAdd(1) {
+		record := j.chunkRecord(chunk, bits, p.limits.maxRecordBytes())
+		if record.bytes > p.limits.maxRecordBytes() {
+			tooLarge = true
+			continue
+		}
+		if !t.canAdd(1, record.bytes) {
 			break
 		}
-		if chunk == 0 {
-			record := records.Job{Job: j.spec, Cancelled: j.cancelled, Done: bits}
-			//mutation:progress-conditions
-			t.expect(records.JobKey(j.id), j.modRevision)
-			t.set(records.JobKey(j.id), record, len(bits)+jobRecordBytes)
+		//mutation:progress-conditions
+		t.expect(record.key, record.modRevision)
+		t.set(record.key, record.value, record.bytes)
+		if record.isJobRecord {
 			write.wroteJobRecord = true
 		} else {
-			key := records.BitmapKey(j.id, chunk)
-			t.expect(key, j.write.chunkRevisions[chunk])
-			t.set(key, records.BitmapChunk{Done: bits}, len(bits)+jobRecordBytes)
 			write.chunks = append(write.chunks, chunk)
 		}
 	}
-	return write
+	return write, tooLarge
+}
+
+// chunkRecord is the record with a chunk of a job's done bitmap.
+type chunkRecord struct {
+	key         string
+	modRevision uint64 // the stored record's; 0: there is none
+	value       any
+	bytes       int  // upper bound of the value's size in JSON
+	isJobRecord bool // the chunk is part of the job's record
+}
+
+// chunkRecord returns the record for a chunk of the job's done bitmap. The first chunk is part of
+// the job's record, unless that would be too large with it: then it gets a key of its own, like the
+// others.
+func (j *job) chunkRecord(chunk int, bits string, maxBytes int) chunkRecord {
+	if chunk == 0 {
+		record := records.Job{Job: j.spec, Cancelled: j.cancelled, Done: bits}
+		//mutation:large-job-record
+		if bytes := wire.JSONSize(record); bytes <= maxBytes {
+			return chunkRecord{key: records.JobKey(j.id), modRevision: j.modRevision, value: record, bytes: bytes, isJobRecord: true}
+		}
+	}
+	value := records.BitmapChunk{Done: bits}
+	return chunkRecord{key: records.BitmapKey(j.id, chunk), modRevision: j.write.chunkRevisions[chunk], value: value, bytes: wire.JSONSize(value)}
+}
+
+// delayTooLargeProgress delays the next try to write a job's progress of which no part fits the
+// limit on values. Until the job ends its completed tasks stay in their assignment batches.
+func (p *persister) delayTooLargeProgress(j *job) {
+	delay := j.write.rejection.extend(p.now.Mono)
+	j.write.blockedUntil = j.write.rejection.until
+	p.logInfo("job's progress exceeds the key-value store's limit on values", "job", j.id,
+		"max_value_bytes", p.limits.maxValueBytes, "retry_in_s", delay.Seconds())
 }
 
 // handleJobWriteOutcome handles the outcome of a job's write. If its end was written, the
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -79,7 +79,7 @@
 // addDeletions deletes batches that are no longer needed, unreadable records once their attempts
 // are known, and the bitmap chunks of ended jobs.
 func (p *persister) addDeletions(t *transaction) {
-	for len(p.obsoleteKeys) > 0 && t.canAdd(1) {
+	for len(p.obsoleteKeys) > 0 && t.canAdd(1, 0) {
 		key := p.obsoleteKeys[0]
 		p.obsoleteKeys = p.obsoleteKeys[1:]
 		t.delete(key)
--- a/internal/scheduler/store_limits.go
+++ b/internal/scheduler/store_limits.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/yarrowgap/yarrowgap/internal/records"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 )
 
@@ -44,6 +45,12 @@
 	}
 }
 
+// maxRecordBytes returns the size that a record may have.
+func (l *storeLimits) maxRecordBytes() int { return records.MaxBytes(l.maxValueBytes) }
+
+// maxBatchBytes returns the size that a batch of assignments may have.
+func (l *storeLimits) maxBatchBytes() int { return min(l.maxRecordBytes(), tuning.MaxBatchBytes) }
+
 // isolated reports whether each write has to get a transaction of its own.
 func (l *storeLimits) isolated(now time.Duration) bool { return now < l.isolatedUntil }
 
--- a/internal/scheduler/transaction.go
+++ b/internal/scheduler/transaction.go
@@ -10,14 +10,20 @@
 // the leader. It is executed only while the leader's key has the revision of this term, so that
 // a replaced leader can't change anything.
 type transaction struct {
-	request    wire.Txn
-	contents   transactionContents
-	valueBytes int     // estimated size of the values
-	maxOps     int     // the key-value store's limit on changes per transaction
-	isolated   bool    // the transaction has at most one write
-	budget     float64 // changes that the write budget allows now
+	request  wire.Txn
+	contents transactionContents
+	bytes    int     // upper bound of the transaction's size in JSON
+	maxOps   int     // the key-value store's limit on changes per transaction
+	isolated bool    // the transaction has at most one write
+	budget   float64 // changes that the write budget allows now
 }
 
+// Upper bounds in bytes of what a transaction in JSON contains beside its keys and values.
+const (
+	compareBytes = 48 // with twenty digits for the revision
+	opBytes      = 32
+)
+
 // transactionContents lists what a transaction writes, for the handling of its outcome.
 type transactionContents struct {
 	batches     []*assignmentBatch
@@ -25,7 +31,7 @@
 	deletedKeys []string
 
 	operations        int
-	largestValueBytes int // estimated size of the largest value; 0: there are only deletions
+	largestValueBytes int // upper bound of the size of the largest value; 0: there are only deletions
 }
 
 // writeCount returns the number of batches, jobs and deletions, which can be written separately.
@@ -40,13 +46,14 @@
 	return t
 }
 
-// canAdd reports whether the transaction stays within its limits with n more changes.
-func (t *transaction) canAdd(n int) bool {
+// canAdd reports whether the transaction stays within its limits with n more changes, whose values
+// have the given size.
+func (t *transaction) canAdd(n, valueBytes int) bool {
 	if t.isolated && t.opCount() > 0 {
 		return false
 	}
 	//mutation:write-budget
-	return t.opCount()+n <= t.maxOps && t.valueBytes < tuning.MaxTxnBytes && float64(t.opCount()+n) <= t.budget
+	return t.opCount()+n <= t.maxOps && t.bytes+valueBytes <= tuning.MaxTxnBytes && float64(t.opCount()+n) <= t.budget
 }
 
 // budgetLeft returns how many more changes the write budget allows.
@@ -57,15 +64,17 @@
 // expect makes the transaction conditional on the revision of a key; 0 means that it is absent.
 func (t *transaction) expect(key string, modRevision uint64) {
 	t.request.If = append(t.request.If, wire.Compare{Key: key, ModRevision: modRevision})
+	t.bytes += len(key) + compareBytes
 }
 
-// set adds a write of a value with the given estimated size in bytes.
-func (t *transaction) set(key string, value any, bytes int) {
+// set adds a write of a value whose size in JSON is at most valueBytes.
+func (t *transaction) set(key string, value any, valueBytes int) {
 	t.request.Then = append(t.request.Then, wire.Op{Set: key, Value: value})
-	t.valueBytes += bytes
-	t.contents.largestValueBytes = max(t.contents.largestValueBytes, bytes)
+	t.bytes += len(key) + opBytes + valueBytes
+	t.contents.largestValueBytes = max(t.contents.largestValueBytes, valueBytes)
 }
 
 func (t *transaction) delete(key string) {
 	t.request.Then = append(t.request.Then, wire.Op{Delete: key})
+	t.bytes += len(key) + opBytes
 }
--- a/internal/tuning/records.go
+++ b/internal/tuning/records.go
@@ -10,11 +10,12 @@
 	// TasksPerBitmap is the number of tasks whose completion bits one value holds. 8192 bits
 	// take 1.4 KB in base64, which fits the smallest value limit together with the job.
 	TasksPerBitmap = 8192
-	// MaxTxnBytes is the size of a transaction of the leader, in bytes, from which nothing more
-	// is added to it. MaxBatchBytes is the maximum size of one batch of assignments in JSON.
-	// Both together stay under the store's limit of 64 KiB.
-	MaxTxnBytes   = 36 << 10
-	MaxBatchBytes = 24 << 10
+	// MaxTxnBytes is the maximum size of a transaction of the leader in JSON, in bytes; the store's
+	// limit is 64 KiB. MaxTxnKeyBytes is what the keys and conditions of a transaction with a
+	// single record take of it. MaxBatchBytes is the maximum size of one batch of assignments.
+	MaxTxnBytes    = 60 << 10
+	MaxTxnKeyBytes = 1 << 10
+	MaxBatchBytes  = 24 << 10
 	// MaxRecordedImages is the maximum number of a machine's images that its record holds.
 	MaxRecordedImages = 6
 )
