Cancel a job whose record is over the store's limit on values

What callers would see: a job that was accepted under a higher limit on values can no longer be cancelled; each request gets 503 until the user gives up, and its tasks run on.

Why this works: the record of a cancelled job leaves out what nobody needs once none of its tasks is placed any more, as little as the limit asks for: the completed tasks, the machine types, the image and the zone. If the store rejects that as well, because its limit is lower than the settings say, the smallest record is written.

--- a/internal/api/store_limits_test.go
+++ b/internal/api/store_limits_test.go
@@ -1,12 +1,15 @@
 package api_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/controller"
 	"github.com/yarrowgap/yarrowgap/internal/policy"
+	"github.com/yarrowgap/yarrowgap/internal/records"
 	"github.com/yarrowgap/yarrowgap/internal/simulator"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -68,3 +71,36 @@
 	}
 	return metrics
 }
+
+// newLongJob makes a service whose record takes about 2 KiB: users may list many machine types.
+func newLongJob(n int) *wire.Job {
+	job := newJob(n, 2)
+	job.Shape, job.Priority, job.MachineTypes = wire.ShapeService, wire.PriorityProduction, []string{"box"}
+	for i := range 9 {
+		job.MachineTypes = append(job.MachineTypes, fmt.Sprintf("%d%s", i, strings.Repeat("x", 190)))
+	}
+	return job
+}
+
+// Guards against a job that can no longer be cancelled, because its record was stored under a higher
+// limit on values than the store has now.
+func TestJobOverValueLimitCanBeCancelled(t *testing.T) {
+	c := startCluster(t, 2)
+	job := newLongJob(1)
+	c.simulation.UploadJob(job, 0)
+	c.submitUntilCreated(0, job)
+	c.eventually("replicas", func() bool { return c.query(0, job.ID).view.Running == job.Tasks })
+
+	c.simulation.SetKVStoreLimits(simulator.KVStoreLimits{MaxTxnOps: 12, MaxValueBytes: 1 << 10})
+	c.eventually("cancellation", func() bool {
+		got := c.cancel(1, job.ID)
+		return got.status == http.StatusOK && got.view.State == wire.JobCancelled
+	})
+	c.eventually("end of the job", func() bool { return c.simulation.HasKey(records.EndedJobKey(job.ID)) })
+	for i := range c.controllers {
+		if got := c.query(i, job.ID); got.view.State != wire.JobCancelled {
+			t.Errorf("controller %d says %q", i, got.view.State)
+		}
+	}
+	c.expectNoViolations()
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -86,6 +86,9 @@
 	TxnOps   int     `toml:"txn_ops"`   // operations in a transaction
 }
 
+// MaxValueBytes returns the limit on the size of a value, in bytes.
+func (l StoreLimits) MaxValueBytes() int { return int(l.ValueKB * 1024) }
+
 // CloudLimits holds the limits of the cloud's API.
 type CloudLimits struct {
 	RPS      float64 `toml:"rps"`        // requests a second
--- a/internal/controller/cancel.go
+++ b/internal/controller/cancel.go
@@ -54,7 +54,7 @@
 	if live == nil {
 		return Answer{}, false
 	}
-	err = commitCancellation(ctx, c.store, live)
+	err = commitCancellation(ctx, c.store, live, records.MaxBytes(c.cfg.Deployment.Store.MaxValueBytes()))
 	switch {
 	case err == nil:
 		c.update(func() { c.confirmCancellation(id) })
@@ -65,16 +65,25 @@
 	return r.forwardOrRefuse(err), true
 }
 
-// commitCancellation marks the job as cancelled in the key-value store. It fails with
-// kvstore.ErrConflict if the job's record has changed since live was read.
-func commitCancellation(ctx context.Context, store *kvstore.Client, live *scheduler.LiveJob) error {
-	record := *live.Record
-	record.Cancelled = true
-	key := records.JobKey(record.Job.ID)
-	_, _, err := store.Commit(ctx, kvstore.PriorityUser, wire.Txn{
-		//mutation:cancellation-conditions
-		If:   []wire.Compare{{Key: key, ModRevision: live.ModRevision}},
-		Then: []wire.Op{{Set: key, Value: record}},
-	})
+// commitCancellation marks the job as cancelled in the key-value store, in a record of at most
+// maxBytes if possible. It fails with kvstore.ErrConflict if the job's record has changed since live
+// was read.
+func commitCancellation(ctx context.Context, store *kvstore.Client, live *scheduler.LiveJob, maxBytes int) error {
+	commit := func(maxBytes int) error {
+		record := live.Record.AsCancelled(maxBytes)
+		key := records.JobKey(record.Job.ID)
+		_, _, err := store.Commit(ctx, kvstore.PriorityUser, wire.Txn{
+			//mutation:cancellation-conditions
+			If:   []wire.Compare{{Key: key, ModRevision: live.ModRevision}},
+			Then: []wire.Op{{Set: key, Value: record}},
+		})
+		return err
+	}
+	err := commit(maxBytes)
+	if errors.Is(err, kvstore.ErrRejected) {
+		// The store has a lower limit than maxBytes.
+		//mutation:smallest-cancellation
+		err = commit(0)
+	}
 	return err
 }
--- a/internal/controller/scheduler_settings.go
+++ b/internal/controller/scheduler_settings.go
@@ -15,7 +15,7 @@
 		WorkerLease:           config.Seconds(deployment.Workers.LeaseS),
 		CancellationBound:     config.Seconds(deployment.Workers.CancellationS),
 		MaxTransactionOps:     deployment.Store.TxnOps,
-		MaxValueBytes:         int(deployment.Store.ValueKB * 1024),
+		MaxValueBytes:         deployment.Store.MaxValueBytes(),
 		WriteRate:             deployment.Store.WriteRPS,
 		ColdRestart:           c.coldRestart(),
 		TraceOperations:       c.tracer.Enabled(),
--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -45,6 +45,12 @@
 		operator: setCondition(true),
 		test:     "internal/scheduler:^TestTooLargeProgressDelaysNoOtherJob$",
 	},
+	{
+		scenario: "a user cancels a job whose record is over the store's limit",
+		marker:   "smallest-cancellation",
+		operator: remove(),
+		test:     "internal/controller:^TestRejectedCancellationIsMadeSmaller$",
+	},
 }
 
 const batchOfUsersNamesTest = "internal/scheduler:^TestBatchWithNamesOfUsersFitsValueLimit$"
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -28,6 +28,25 @@
 	Done string `cbor:"done,omitempty" json:"done,omitempty"`
 }
 
+// AsCancelled returns the record of the job after its cancellation. If that takes more than maxBytes
+// in JSON, parts are left out that nobody needs once no further task is placed, as few as possible:
+// the record may have been stored when the key-value store had a higher limit.
+func (j Job) AsCancelled(maxBytes int) Job {
+	j.Cancelled = true
+	for _, omit := range []func(){
+		func() { j.Done = "" },
+		func() { j.Job.MachineTypes = nil },
+		func() { j.Job.Image = "" },
+		func() { j.Job.Zone = "" },
+	} {
+		if wire.JSONSize(j) <= maxBytes {
+			break
+		}
+		omit()
+	}
+	return j
+}
+
 // EndedJob is the permanent record of a job that has ended. Done is the number of tasks that
 // were done.
 type EndedJob struct {
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"math"
 	"os"
+	"reflect"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -105,3 +107,36 @@
 		})
 	}
 }
+
+// Guards against cancellations that the key-value store rejects as too large: the record of a
+// cancelled job omits what is not needed, and nothing more.
+func TestRecordOfCancelledJobIsMadeSmaller(t *testing.T) {
+	job := records.Job{Done: strings.Repeat("A", 1000), Job: wire.Job{
+		ID: "run-000001", Class: "train", Team: "red", Shape: wire.ShapeService, Priority: wire.PriorityNormal, Tasks: 3, CPUs: 2,
+		Image: strings.Repeat("i", 200), Zone: "a", MachineTypes: []string{strings.Repeat("t", 200)},
+	}}
+	full := job.AsCancelled(4096)
+	if !full.Cancelled || full.Done != job.Done || full.Job.Image != job.Job.Image || len(full.Job.MachineTypes) != 1 {
+		t.Errorf("with room for all: %+v", full)
+	}
+	withoutDone := job.AsCancelled(wire.JSONSize(full) - 1)
+	if withoutDone.Done != "" || len(withoutDone.Job.MachineTypes) != 1 {
+		t.Errorf("with room for all but the completed tasks: %+v", withoutDone)
+	}
+	smallest := job.AsCancelled(0)
+	want := records.Job{Cancelled: true, Job: job.Job}
+	want.Job.Image, want.Job.Zone, want.Job.MachineTypes = "", "", nil
+	if !reflect.DeepEqual(smallest, want) {
+		t.Errorf("smallest record: %+v, want %+v", smallest, want)
+	}
+	raw, err := wire.Marshal(smallest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := records.DecodeJob(wire.KeyValue{Key: records.JobKey("run-000001"), Value: raw}); err != nil {
+		t.Errorf("the smallest record is unreadable: %v", err)
+	}
+	if job.Cancelled || job.Done == "" || job.Job.MachineTypes == nil {
+		t.Error("the original record was changed")
+	}
+}
