Refuse submissions that the store rejects, and no job for a bitmap it never has

What callers would see, after the store has lowered its limit on values: a job whose description is too long gets 503 for a minute and is never accepted, with the true reason nowhere; and with limits of 2 KiB ordinary jobs of a few hundred tasks, with three machine types, get 400.

And the check beforehand added the bitmap of 8,192 tasks, 1.4 KB, to every job's record, whatever its tasks.

Why this works: a rejected submission is refused with 400 and the reason, unless the job exists or an earlier try of the same submission may have been executed; then users go on trying as before. The check measures the record as it will be once all its tasks are completed and it is cancelled.

--- a/internal/api/store_limits_test.go
+++ b/internal/api/store_limits_test.go
@@ -104,3 +104,23 @@
 	}
 	c.expectNoViolations()
 }
+
+// Guards against users who try a submission again for a minute that the store cannot take, and
+// against a repeated submission of an accepted job that gets 400.
+func TestSubmissionOverValueLimitIsRefused(t *testing.T) {
+	c := startCluster(t, 2)
+	known, long := newLongJob(1), newLongJob(2)
+	c.simulation.UploadJob(known, 0)
+	c.submitUntilCreated(0, known)
+	c.simulation.SetKVStoreLimits(simulator.KVStoreLimits{MaxTxnOps: 12, MaxValueBytes: 1 << 10})
+	for i := range c.controllers {
+		c.eventually("refusal", func() bool { return c.submit(i, long).status == http.StatusBadRequest })
+		if got := c.submit(i, known); got.status != http.StatusOK {
+			t.Errorf("the repeated submission of an accepted job gets %d at controller %d", got.status, i)
+		}
+		if got := c.query(i, long.ID); got.status != http.StatusNotFound {
+			t.Errorf("a refused job is known to controller %d with status %d", i, got.status)
+		}
+	}
+	c.expectNoViolations()
+}
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -27,4 +27,6 @@
 	overloadedAnswer  = errorAnswer(http.StatusServiceUnavailable, "too many requests at this node")
 	unavailableAnswer = errorAnswer(http.StatusServiceUnavailable, "cannot be decided now")
 	jobNotFoundAnswer = errorAnswer(http.StatusNotFound, "no such job")
+
+	descriptionTooLongAnswer = errorAnswer(http.StatusBadRequest, "the job's description is too long")
 )
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/kvstore"
@@ -35,9 +37,9 @@
 	}
 	job.CreatedAtMilli = time.Now().UnixMilli()
 	record := records.Job{Job: *job}
-	if exceedsValueLimit(&record, c.cfg.Deployment.Store.ValueKB) {
+	if exceedsValueLimit(&record, c.cfg.Deployment.Store.MaxValueBytes()) {
 		//mutation:long-submission-of-known-job
-		return request.refuseUnlessJobExists(ctx, job.ID, errorAnswer(http.StatusBadRequest, "the job's description is too long"))
+		return request.refuseUnlessJobExists(ctx, job.ID, descriptionTooLongAnswer)
 	}
 	return newSubmission(request, record).run(ctx)
 }
@@ -60,16 +62,14 @@
 }
 
 // exceedsValueLimit reports whether the job's record might exceed the key-value store's limit on
-// values once the record holds a full bitmap of completed tasks.
-func exceedsValueLimit(record *records.Job, maxValueKB float64) bool {
-	maxValueBytes := maxValueKB * 1024 * (1 - tuning.ValueSizeMargin)
-	const bitmapBytes = float64(tuning.TasksPerBitmap) / base64BitsPerByte
-	return float64(wire.JSONSize(*record)) > maxValueBytes-bitmapBytes
+// values once all its tasks are completed and it is cancelled.
+func exceedsValueLimit(record *records.Job, maxValueBytes int) bool {
+	final := *record
+	final.Cancelled = true
+	final.Done = strings.Repeat("x", base64.RawStdEncoding.EncodedLen((min(record.Job.Tasks, tuning.TasksPerBitmap)+7)/8))
+	return wire.JSONSize(final) > records.MaxBytes(maxValueBytes)
 }
 
-// base64BitsPerByte is the number of bits that one byte of base64 text encodes.
-const base64BitsPerByte = 6
-
 // refuseMalformed refuses a submission that cannot be parsed, unless its job exists. id is empty
 // if the job's ID cannot be parsed either.
 func (r userRequest) refuseMalformed(ctx context.Context, id string, cause error) Answer {
@@ -191,6 +191,9 @@
 		return stateAnswer(http.StatusCreated, s.jobID, wire.JobPending)
 	case errors.Is(err, kvstore.ErrConflict):
 		return s.answerExistingJob(ctx)
+	case errors.Is(err, kvstore.ErrRejected) && !s.maybeCommitted:
+		// The store has a lower limit than the settings say.
+		return s.request.refuseUnlessJobExists(ctx, s.jobID, descriptionTooLongAnswer)
 	case s.forwarded:
 		s.request.recordNotServedLocally(err)
 		return unavailableAnswer
