Obey the lower limits of the key-value store that the settings announce

Evidence: TestAnnouncedStoreLimitsAreObeyed fails without the line that lowers the limits (row in internal/mutation); TestAnnouncedLimitsCauseNoRejections, on real controllers, sees no rejected transaction before and after the change.

Why this works: nobody says when the announced limits begin, so the lower one of each present and announced limit is obeyed from the start, by everything that reads the settings: the leader's transactions, submissions, cancellations, the rates, the recommended minimums. The log says at the start which limits these are.

--- a/cmd/yarrowgap/serve.go
+++ b/cmd/yarrowgap/serve.go
@@ -89,6 +89,9 @@
 
 func logSettings(log *slog.Logger, cfg *config.Settings) {
 	log.Info("serving", "bind", cfg.Bind, "peer_addr", cfg.PeerAddr, "zone", cfg.Zone, "version", version)
+	store := cfg.Deployment.Store
+	log.Info("limits of the key-value store", "rps", store.RPS, "write_rps", store.WriteRPS, "value_kb", store.ValueKB, "txn_ops", store.TxnOps,
+		"lower_limits_announced", store.Next != config.AnnouncedStoreLimits{})
 	for _, objective := range cfg.Deployment.Objectives {
 		log.Debug("objective", "kind", objective.Kind, "class", objective.Class, "within_s", objective.WithinS, "share", objective.Share)
 	}
--- a/internal/api/harness_test.go
+++ b/internal/api/harness_test.go
@@ -38,6 +38,7 @@
 	tb            testing.TB
 	simulation    *simulator.Deployment
 	policy        policy.Settings
+	announced     string   // lower limits of the key-value store that the settings announce
 	settingsFiles []string // contents of each controller's TOML file, as the platform writes it
 	userAddrs     []string // each controller's address for users, workers and operators
 	peerAddrs     []string // each controller's address for the other controllers
@@ -60,6 +61,15 @@
 func startClusterWith(tb testing.TB, size int, settings policy.Settings, teamLimit float64) *cluster {
 	tb.Helper()
 	c := &cluster{tb: tb, policy: settings, controllers: make([]*runningController, size)}
+	c.start(teamLimit)
+	return c
+}
+
+// start starts the controllers of a cluster that has its policy, announced limits and number of
+// controllers.
+func (c *cluster) start(teamLimit float64) {
+	tb, size := c.tb, len(c.controllers)
+	tb.Helper()
 	var userListeners, peerListeners []net.Listener
 	for range size {
 		userListener, peerListener := listenLoopback(tb), listenLoopback(tb)
@@ -74,7 +84,6 @@
 		c.startController(i, userListeners[i], peerListeners[i])
 	}
 	tb.Cleanup(c.stopAllControllers)
-	return c
 }
 
 func (c *cluster) newSimulation(teamLimit float64) *simulator.Deployment {
@@ -134,10 +143,11 @@
 write_rps = 500.0
 value_kb = 4.0
 txn_ops = 12
+%s
 [deployment.cloud]
 rps = 50.0
 list_lag_s = 1.0
-`, testTeam, teamLimit)
+`, testTeam, teamLimit, c.announced)
 	return text.String()
 }
 
--- a/internal/api/store_limits_test.go
+++ b/internal/api/store_limits_test.go
@@ -54,6 +54,28 @@
 	c.expectNoViolations()
 }
 
+// Guards against the second cause of review case 1: the announced limits were not read. With them,
+// no transaction is ever rejected.
+func TestAnnouncedLimitsCauseNoRejections(t *testing.T) {
+	c := &cluster{
+		tb: t, policy: policy.Defaults(policy.CostInsensitive), controllers: make([]*runningController, 2),
+		announced: "[deployment.state.next]\nwrite_rps = 100.0\nvalue_kb = 2.0\ntxn_ops = 4",
+	}
+	c.start(4 * wideJobTasks)
+	c.runWideJob(0, 1)
+	c.simulation.SetKVStoreLimits(lowKVStoreLimits)
+	c.runWideJob(1, 2)
+	if rejected := c.simulation.RejectedTransactions(); rejected > 0 {
+		t.Errorf("%d transactions were rejected", rejected)
+	}
+	for i := range c.controllers {
+		if counts := c.metrics(i).StoreTransactions; counts.Rejected > 0 || counts.RateLimited > 0 {
+			t.Errorf("controller %d: %+v", i, counts)
+		}
+	}
+	c.expectNoViolations()
+}
+
 // runWideJob submits a wide job to controller i and waits until it says that the job is done.
 func (c *cluster) runWideJob(i, n int) {
 	c.tb.Helper()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,12 +78,41 @@
 	CancellationS float64 `toml:"cancel_s"` // time limit for ending the tasks of a cancelled job
 }
 
-// StoreLimits holds the limits of the key-value store.
+// StoreLimits holds the limits of the key-value store. Parse lowers them to those in Next.
 type StoreLimits struct {
 	RPS      float64 `toml:"rps"`       // requests a second
 	WriteRPS float64 `toml:"write_rps"` // writes a second
 	ValueKB  float64 `toml:"value_kb"`  // size of a value, in KB
 	TxnOps   int     `toml:"txn_ops"`   // operations in a transaction
+
+	// Next holds the limits that the store will have from some moment on, without further notice.
+	Next AnnouncedStoreLimits `toml:"next"`
+}
+
+// AnnouncedStoreLimits holds future limits of the key-value store; 0 means that a limit stays.
+type AnnouncedStoreLimits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
+// lowest returns the lower one of each limit and the announced limit. Only these are safe to use at
+// any time, since nobody says when the announced limits begin.
+func (l StoreLimits) lowest() StoreLimits {
+	l.RPS = lowerLimit(l.RPS, l.Next.RPS)
+	l.WriteRPS = lowerLimit(l.WriteRPS, l.Next.WriteRPS)
+	l.ValueKB = lowerLimit(l.ValueKB, l.Next.ValueKB)
+	l.TxnOps = lowerLimit(l.TxnOps, l.Next.TxnOps)
+	return l
+}
+
+// lowerLimit returns the lower of two limits, or the present one if none is announced.
+func lowerLimit[T int | float64](present, announced T) T {
+	if announced == 0 {
+		return present
+	}
+	return min(present, announced)
 }
 
 // MaxValueBytes returns the limit on the size of a value, in bytes.
@@ -126,6 +155,8 @@
 		return nil, err
 	}
 	settings.makeUnsetLimitsInfinite()
+	//mutation:announced-store-limits
+	settings.Deployment.Store = settings.Deployment.Store.lowest()
 	return settings, nil
 }
 
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -47,6 +47,8 @@
 		{`lease_s = 12.0`, `lease_s = 0.0`, "deployment.workers.lease_s"},
 		{`lease_s = 12.0`, `lease_s = nan`, "deployment.workers.lease_s"},
 		{`txn_ops = 12`, `txn_ops = 1`, "deployment.state.txn_ops"},
+		{`txn_ops = 12`, "txn_ops = 12\n[deployment.state.next]\ntxn_ops = 1", "deployment.state.next.txn_ops"},
+		{`txn_ops = 12`, "txn_ops = 12\n[deployment.state.next]\nvalue_kb = -2.0", "deployment.state.next.value_kb"},
 		{`cpus_max = 64.0`, `cpus_max = -1.0`, "deployment.teams[0].cpus_max"},
 		{`state = "127.0.0.1:7000"`, ``, "outside.state"},
 		{`cpu_share = 1.0`, `cpu_share = -1.0`, "deployment.quota"},
@@ -93,6 +95,33 @@
 	}
 }
 
+// Guards against writes that the key-value store rejects or refuses once it has the limits that the
+// settings announce: the lower ones are obeyed from the start.
+func TestAnnouncedStoreLimitsAreObeyed(t *testing.T) {
+	present := config.StoreLimits{RPS: 100, WriteRPS: 50, ValueKB: 4, TxnOps: 12}
+	for _, tc := range []struct {
+		name, next string
+		want       config.StoreLimits
+	}{
+		{"none", "", present},
+		{"all", "rps = 80.0\nwrite_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 4", config.StoreLimits{RPS: 80, WriteRPS: 15, ValueKB: 2, TxnOps: 4}},
+		{"one", "value_kb = 2.0", config.StoreLimits{RPS: 100, WriteRPS: 50, ValueKB: 2, TxnOps: 12}},
+		{"a higher one", "write_rps = 70.0\ntxn_ops = 4", config.StoreLimits{RPS: 100, WriteRPS: 50, ValueKB: 4, TxnOps: 4}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			settings, err := parseChanged(t, "txn_ops = 12\n", "txn_ops = 12\n[deployment.state.next]\n"+tc.next+"\n")
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := settings.Deployment.Store
+			got.Next = config.AnnouncedStoreLimits{}
+			if got != tc.want {
+				t.Errorf("limits %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
+
 // Only the settings below their recommended minimums are listed, each with its value.
 func TestShortfallsNameTheField(t *testing.T) {
 	for _, tc := range []struct{ old, new, want string }{
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -138,13 +138,27 @@
 	v.positive("deployment.workers.report_s", d.Workers.HeartbeatS)
 	v.positive("deployment.workers.lease_s", d.Workers.LeaseS)
 	v.positive("deployment.workers.cancel_s", d.Workers.CancellationS)
-	v.positive("deployment.state.rps", d.Store.RPS)
-	v.positive("deployment.state.write_rps", d.Store.WriteRPS)
-	v.positive("deployment.state.value_kb", d.Store.ValueKB)
-	if d.Store.TxnOps < minTxnOps {
-		v.fail("deployment.state.txn_ops", "must be at least %d, is %d", minTxnOps, d.Store.TxnOps)
-	}
+	d.Store.validate(v)
 	v.positive("deployment.cloud.rps", d.Cloud.RPS)
 	v.notNegative("deployment.cloud.list_lag_s", d.Cloud.ListLagS)
 	v.notNegative("deployment.quota", d.Quota.MemMB, float64(d.Quota.FDLimit), d.Quota.CPUShare)
 }
+
+func (l *StoreLimits) validate(v *validator) {
+	v.positive("deployment.state.rps", l.RPS)
+	v.positive("deployment.state.write_rps", l.WriteRPS)
+	v.positive("deployment.state.value_kb", l.ValueKB)
+	v.transactionOps("deployment.state.txn_ops", l.TxnOps)
+	v.inRange("deployment.state.next.rps", l.Next.RPS)
+	v.inRange("deployment.state.next.write_rps", l.Next.WriteRPS)
+	v.inRange("deployment.state.next.value_kb", l.Next.ValueKB)
+	if l.Next.TxnOps != 0 {
+		v.transactionOps("deployment.state.next.txn_ops", l.Next.TxnOps)
+	}
+}
+
+func (v *validator) transactionOps(field string, operations int) {
+	if operations < minTxnOps {
+		v.fail(field, "must be at least %d, is %d", minTxnOps, operations)
+	}
+}
--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -51,6 +51,12 @@
 		operator: remove(),
 		test:     "internal/controller:^TestRejectedCancellationIsMadeSmaller$",
 	},
+	{
+		scenario: "the key-value store takes on the limits that the settings announce",
+		marker:   "announced-store-limits",
+		operator: remove(),
+		test:     "internal/config:^TestAnnouncedStoreLimitsAreObeyed$",
+	},
 }
 
 const batchOfUsersNamesTest = "internal/scheduler:^TestBatchWithNamesOfUsersFitsValueLimit$"
