Store the other machine types when the key-value store rejects one

What callers would see: if the cloud's interface is down when controllers start, they answer 503 to submissions, because the copy of the machine types lacks those after the rejected one.

Evidence: TestRejectedMachineTypeHoldsUpNoOther fails without the condition (row in internal/mutation).

--- a/internal/controller/machine_types.go
+++ b/internal/controller/machine_types.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"reflect"
@@ -125,6 +126,12 @@
 		_, _, err := s.store.Commit(ctx, kvstore.PriorityBackground, wire.Txn{
 			Then: []wire.Op{{Set: records.MachineTypeKey(machineType.Name), Value: machineType}},
 		})
+		//mutation:rejected-machine-type
+		if errors.Is(err, kvstore.ErrRejected) {
+			// It would be rejected again, and the other types help a controller that starts while
+			// the cloud is down.
+			continue
+		}
 		if err != nil {
 			return fmt.Errorf("store machine type %s: %w", machineType.Name, err)
 		}
--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -57,6 +57,12 @@
 		operator: remove(),
 		test:     "internal/config:^TestAnnouncedStoreLimitsAreObeyed$",
 	},
+	{
+		scenario: "one machine type is too large for the key-value store",
+		marker:   "rejected-machine-type",
+		operator: setCondition(false),
+		test:     "internal/controller:^TestRejectedMachineTypeHoldsUpNoOther$",
+	},
 }
 
 const batchOfUsersNamesTest = "internal/scheduler:^TestBatchWithNamesOfUsersFitsValueLimit$"
