Find the rate of changes that the key-value store accepts

What callers would see, if the store lowers its rate below the settings without notice: jobs start and end late or never, and submissions get 503, while machines are empty.

The store accepts at once what its rate allows in a second, so it refuses a transaction of 12 changes for ever once it takes fewer than 12 a second; the same holds from the start if write_rps is lower than txn_ops.

Why this works: the leader's rate falls by a quarter with each refusal, once a second at the most, and rises again while the store accepts writes; a transaction has no more changes than the rate allows in a second. A request that exceeded the client's own budget, ErrOverBudget, was not sent and lowers nothing.

--- a/internal/controller/executor.go
+++ b/internal/controller/executor.go
@@ -65,8 +65,10 @@
 		return scheduler.CommitDone
 	case errors.Is(err, kvstore.ErrConflict):
 		return scheduler.CommitConflict
-	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrRateLimited):
+	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, kvstore.ErrOverBudget):
 		return scheduler.CommitRefused
+	case errors.Is(err, kvstore.ErrRateLimited):
+		return scheduler.CommitRateLimited
 	//mutation:rejected-transaction-is-not-executed
 	case errors.Is(err, kvstore.ErrRejected):
 		return scheduler.CommitRejected
--- a/internal/kvstore/budget.go
+++ b/internal/kvstore/budget.go
@@ -36,7 +36,7 @@
 	return &requestBudget{requestsPerSecond: requestsPerSecond, tokens: requestsPerSecond, refilledAt: now}
 }
 
-// take takes a token for one request. It returns ErrRateLimited if the priority does not allow
+// take takes a token for one request. It returns ErrOverBudget if the priority does not allow
 // that now.
 func (b *requestBudget) take(priority Priority) error { return b.takeAt(time.Now(), priority) }
 
@@ -47,7 +47,7 @@
 	b.tokens = min(b.requestsPerSecond, b.tokens+refill)
 	b.refilledAt = now
 	if b.tokens-1 < minRemainingShare[priority]*b.requestsPerSecond {
-		return ErrRateLimited
+		return ErrOverBudget
 	}
 	b.tokens--
 	return nil
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -24,6 +24,9 @@
 	// ErrRateLimited means that the request was not executed: the store's rate limit or the
 	// client's own request budget was exceeded.
 	ErrRateLimited = errors.New("key-value store request rate exceeded")
+	// ErrOverBudget is the ErrRateLimited of a request that was not sent, because it exceeded the
+	// client's own request budget.
+	ErrOverBudget = fmt.Errorf("%w: over the client's budget", ErrRateLimited)
 	// ErrOutcomeUnknown means that no usable response was received: the request may have been
 	// executed, or may still be executed later.
 	ErrOutcomeUnknown = errors.New("key-value store request has an unknown outcome")
--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -57,6 +57,18 @@
 		operator: remove(),
 		test:     "internal/config:^TestAnnouncedStoreLimitsAreObeyed$",
 	},
+	{
+		scenario: "the key-value store takes fewer writes than the settings say",
+		marker:   "refusals-lower-write-rate",
+		operator: remove(),
+		test:     "internal/scheduler:^TestWriteRateFallsAndRises$",
+	},
+	{
+		scenario: "a transaction has more changes than the key-value store takes in a second",
+		marker:   "transaction-within-burst",
+		operator: keepArgument(0, 2),
+		test:     "internal/scheduler:^TestTransactionStaysWithinBurst$",
+	},
 	{
 		scenario: "one machine type is too large for the key-value store",
 		marker:   "rejected-machine-type",
--- a/internal/scheduler/assignments.go
+++ b/internal/scheduler/assignments.go
@@ -107,7 +107,7 @@
 		queue = queue[written:]
 	}
 	p.unrecorded = slices.Concat(queue, delayed)
-	p.nextBatchAt = p.now.Mono + time.Duration(float64(time.Second)/(p.settings.WriteRate*tuning.BatchWriteShare))
+	p.nextBatchAt = p.now.Mono + time.Duration(float64(time.Second)/(p.writeRate.perSecond*tuning.BatchWriteShare))
 }
 
 // currentUnrecorded drops attempts that are gone, and returns the other unrecorded ones: those
@@ -247,7 +247,7 @@
 // tuning.MaxCompactedAttempts or the attempts of one batch at a time. Otherwise the records of
 // ended attempts would fill up the store, and a new leader would have to read them.
 func (p *persister) compactBatches() {
-	if p.recordsAreDue() || p.writeBudget.tokens < p.settings.WriteRate*tuning.StoreWriteRateShare/2 {
+	if p.recordsAreDue() || p.writeBudget.tokens < p.writeRate.perSecond*tuning.StoreWriteRateShare/2 {
 		return
 	}
 	queued := 0
@@ -304,8 +304,10 @@
 	switch {
 	case p.limits.isolated(p.now.Mono):
 		cause = "key-value store rejects writes as too large"
+	case p.writeRate.perSecond < p.settings.WriteRate:
+		cause = "key-value store takes fewer writes than the settings say"
 	case p.now.Mono < p.blockedUntil+tuning.StoreRetryDelay:
 		cause = "key-value store refuses writes"
 	}
-	p.logInfo("starts wait for their assignment records", "cause", cause, "starts", len(p.unrecorded), "longest_s", delay.Seconds(), "changes_per_s", p.settings.WriteRate)
+	p.logInfo("starts wait for their assignment records", "cause", cause, "starts", len(p.unrecorded), "longest_s", delay.Seconds(), "changes_per_s", p.writeRate.perSecond)
 }
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -118,6 +118,10 @@
 		h.scheduler.CommitEnded(h.clock(), c.ID, CommitRejected, 0, nil)
 		return
 	}
+	if h.storeLimits != nil && h.storeLimits.refuses(h.now, c.Txn) {
+		h.scheduler.CommitEnded(h.clock(), c.ID, CommitRateLimited, 0, nil)
+		return
+	}
 	h.revision++
 	storeTransaction(h.t, h.items, c.Txn, h.revision)
 	h.scheduler.CommitEnded(h.clock(), c.ID, CommitDone, h.revision, nil)
@@ -127,6 +131,23 @@
 type harnessStoreLimits struct {
 	maxOps, maxValueBytes int
 	rejections            int // transactions that exceeded a limit
+
+	writeRate   float64 // changes per second; 0: unlimited
+	writeBudget tokenBucket
+	refusals    int // transactions that exceeded the rate
+}
+
+// refuses reports whether a transaction exceeds the rate. Bursts of one second's changes are allowed.
+func (l *harnessStoreLimits) refuses(now time.Duration, txn wire.Txn) bool {
+	if l.writeRate == 0 {
+		return false
+	}
+	l.writeBudget.refill(now, l.writeRate, l.writeRate)
+	if l.writeBudget.take(float64(len(txn.Then))) {
+		return false
+	}
+	l.refusals++
+	return true
 }
 
 func (l *harnessStoreLimits) rejects(txn wire.Txn) bool {
--- a/internal/scheduler/jobwrite.go
+++ b/internal/scheduler/jobwrite.go
@@ -97,7 +97,7 @@
 // progressFlushDelay returns how long done tasks may wait to be written. It grows with the
 // number of jobs with unsaved changes, since each job takes a write of its own.
 func (p *persister) progressFlushDelay() time.Duration {
-	seconds := float64(len(p.dirtyJobs)) / (p.settings.WriteRate * tuning.ProgressWriteShare)
+	seconds := float64(len(p.dirtyJobs)) / (p.writeRate.perSecond * tuning.ProgressWriteShare)
 	return max(tuning.DoneFlushDelay, time.Duration(seconds*float64(time.Second)))
 }
 
@@ -107,7 +107,7 @@
 		if j.readyToArchive() {
 			continue
 		}
-		if t.budgetLeft() < p.settings.WriteRate*tuning.StartWriteReserve {
+		if t.budgetLeft() < p.writeRate.perSecond*tuning.StartWriteReserve {
 			return // the rest of the budget is for starts and ended jobs
 		}
 		if !j.progress.unsaved() {
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -25,6 +25,7 @@
 	unreadableRecords []string                        // keys of records that could not be decoded
 	obsoleteKeys      []string                        // keys to delete as the write budget allows
 	limits            storeLimits                     // the store's limits on a transaction
+	writeRate         writeRate                       // the store's limit on changes per second
 	writeBudget       tokenBucket                     // one token per change
 	blockedUntil      time.Duration                   // earliest next write after a failed write
 }
@@ -36,6 +37,7 @@
 		batches:     map[string]*assignmentBatch{},
 		dirtyJobs:   map[*job]bool{},
 		limits:      newStoreLimits(context.settings),
+		writeRate:   newWriteRate(context.settings.WriteRate, context.now.Mono),
 		writeBudget: tokenBucket{tokens: context.settings.WriteRate, refilledAt: context.now.Mono},
 	}
 }
@@ -64,8 +66,15 @@
 }
 
 func (p *persister) refillWriteBudget() {
-	rate := p.settings.WriteRate * tuning.StoreWriteRateShare
-	p.writeBudget.refill(p.now.Mono, rate, max(rate, float64(p.settings.MaxTransactionOps)))
+	p.writeRate.advance(p.now.Mono)
+	rate := p.writeRate.perSecond * tuning.StoreWriteRateShare
+	p.writeBudget.refill(p.now.Mono, rate, max(rate, float64(p.maxTransactionOps())))
+}
+
+// maxTransactionOps returns the most changes that a transaction may have.
+func (p *persister) maxTransactionOps() int {
+	//mutation:transaction-within-burst
+	return min(p.limits.maxOps, p.writeRate.maxOps())
 }
 
 func (p *persister) commit(t *transaction) {
@@ -93,10 +102,11 @@
 // Outcomes of a transaction.
 const (
 	// CommitUnknown means that the transaction may have been executed, or may be executed later.
-	CommitUnknown  CommitResult = iota
-	CommitDone                  // executed at the reported revision
-	CommitConflict              // not executed: the reported keys have unexpected revisions
-	CommitRefused               // not executed: the key-value store refused it
+	CommitUnknown     CommitResult = iota
+	CommitDone                     // executed at the reported revision
+	CommitConflict                 // not executed: the reported keys have unexpected revisions
+	CommitRefused                  // not executed: the key-value store refused it
+	CommitRateLimited              // not executed: too many changes or requests at the key-value store
 	// CommitRejected means that the transaction was not executed, and never will be: it is too
 	// large for the key-value store.
 	CommitRejected
@@ -154,13 +164,19 @@
 	return contents
 }
 
-// handleCommitOutcome delays further writes after a refusal or an unknown outcome, lowers the
-// limits after a rejection, and requeues deletions that may not have been executed.
+// handleCommitOutcome delays further writes after a refusal or an unknown outcome, lowers the rate
+// or the limits after a refusal because of them, and requeues deletions that may not have been executed.
 func (p *persister) handleCommitOutcome(contents *transactionContents, outcome commitOutcome) {
 	if outcome.result != CommitDone && outcome.result != CommitConflict {
 		p.blockedUntil = p.now.Mono + tuning.StoreRetryDelay
 	}
-	if outcome.result == CommitRejected {
+	switch outcome.result {
+	case CommitDone:
+		p.writeRate.accepted = true
+	case CommitRateLimited:
+		p.writeRate.lower(p.now.Mono)
+		p.writeBudget.tokens = min(p.writeBudget.tokens, 0)
+	case CommitRejected:
 		p.limits.lower(p.now.Mono, contents)
 		p.logInfo("key-value store rejects writes as too large", "writes", contents.writeCount(), "operations", contents.operations,
 			"largest_value_bytes", contents.largestValueBytes, "max_operations", p.limits.maxOps, "max_value_bytes", p.limits.maxValueBytes)
--- a/internal/scheduler/transaction.go
+++ b/internal/scheduler/transaction.go
@@ -40,7 +40,7 @@
 }
 
 func (p *persister) newTransaction() *transaction {
-	t := &transaction{maxOps: p.limits.maxOps, isolated: p.limits.isolated(p.now.Mono), budget: p.writeBudget.tokens}
+	t := &transaction{maxOps: p.maxTransactionOps(), isolated: p.limits.isolated(p.now.Mono), budget: p.writeBudget.tokens}
 	//mutation:transaction-needs-leadership
 	t.expect(records.LeaderKey, p.term)
 	return t
--- a/internal/tuning/kvstore.go
+++ b/internal/tuning/kvstore.go
@@ -18,6 +18,14 @@
 	// that the leader takes. The rest is for submissions at the other controllers.
 	StoreRequestRateShare = 0.5
 	StoreWriteRateShare   = 0.8
+	// MinWriteRate is the lowest estimate of the store's write rate, in changes a second. With each
+	// refusal, at most once in each WriteRateInterval, the estimate falls to the share
+	// WriteRateDecrease of itself; each second of accepted writes raises it by the share
+	// WriteRateIncrease of the deployment's rate.
+	MinWriteRate      = 2.0
+	WriteRateInterval = time.Second
+	WriteRateDecrease = 0.75
+	WriteRateIncrease = 0.02
 	// StorePageSize is the page size of a full read, in items. The store itself bounds a page
 	// at 512 KiB.
 	StorePageSize = 500
