Raise limits again that rejected transactions have lowered

What callers would see, since the limits are lowered after rejections: a store that rejects everything for a while leaves the leader with batches of a single task until its term ends, so that starts wait on a large fleet.

Evidence: TestLoweredLimitsRiseAgain fails without the line that raises them (row in internal/mutation). TestRefusedWritesAreNotKept shows that five minutes of refusals of each kind (unavailable, rate, size) leave no more queued attempts, batches, deletions or jobs in memory than five seconds, and that all tasks start afterwards.

Why this works: lowered limits double after 30 s without a rejection. If the store still has its lower limits, that costs one round of rejections, and the next rise comes after twice the time, up to 10 min.

--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -21,6 +21,12 @@
 		operator: remove(),
 		test:     "internal/scheduler:^TestWorkGoesOnAfterStoreLowersItsLimits$",
 	},
+	{
+		scenario: "the key-value store rejects all transactions for a while",
+		marker:   "lowered-limits-rise",
+		operator: remove(),
+		test:     "internal/scheduler:^TestLoweredLimitsRiseAgain$",
+	},
 	{
 		scenario: "users name images with characters that JSON escapes",
 		marker:   "escaped-name-size",
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -23,6 +24,7 @@
 	items         map[string]wire.KeyValue // stored items, by key
 	revision      uint64                   // revision of the last transaction
 	refuseCommits bool                     // refuse all transactions
+	refusal       CommitResult             // what refused transactions get; CommitRefused unless set
 	storeLimits   *harnessStoreLimits      // reject larger transactions; nil: none is too large
 
 	pendingCalls      []DirectCall // direct calls without an answer yet
@@ -111,7 +113,7 @@
 func (h *harness) commit(c Commit) {
 	h.t.Helper()
 	if h.refuseCommits {
-		h.scheduler.CommitEnded(h.clock(), c.ID, CommitRefused, 0, nil)
+		h.scheduler.CommitEnded(h.clock(), c.ID, cmp.Or(h.refusal, CommitRefused), 0, nil)
 		return
 	}
 	if h.storeLimits != nil && h.storeLimits.rejects(c.Txn) {
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -66,6 +66,7 @@
 }
 
 func (p *persister) refillWriteBudget() {
+	p.limits.raise(p.now.Mono)
 	p.writeRate.advance(p.now.Mono)
 	rate := p.writeRate.perSecond * tuning.StoreWriteRateShare
 	p.writeBudget.refill(p.now.Mono, rate, max(rate, float64(p.maxTransactionOps())))
--- a/internal/scheduler/store_limits.go
+++ b/internal/scheduler/store_limits.go
@@ -17,15 +17,23 @@
 
 // storeLimits holds the key-value store's limits on a transaction as this term knows them. They
 // begin as those of the settings. The store may have lower ones, and shows that only by rejecting
-// a transaction; within a term, limits that were lowered are not raised again.
+// a transaction. After a while without rejections they rise again, up to those of the settings.
 type storeLimits struct {
 	maxOps        int           // changes in a transaction
 	maxValueBytes int           // size of a value in JSON
 	isolatedUntil time.Duration // until then, each write gets a transaction of its own
+
+	settings   Settings
+	raiseAt    time.Duration // when the limits rise next; 0: they are those of the settings
+	raiseDelay time.Duration // time without rejections before they rise
+	raised     bool          // they have risen since the last rejection
 }
 
 func newStoreLimits(settings Settings) storeLimits {
-	return storeLimits{maxOps: settings.MaxTransactionOps, maxValueBytes: settings.MaxValueBytes}
+	return storeLimits{
+		maxOps: settings.MaxTransactionOps, maxValueBytes: settings.MaxValueBytes,
+		settings: settings, raiseDelay: tuning.LimitRaiseDelay,
+	}
 }
 
 // lower lowers the limits after the store has rejected a transaction with the given contents. A
@@ -35,6 +43,11 @@
 func (l *storeLimits) lower(now time.Duration, contents *transactionContents) {
 	//mutation:rejected-writes-are-isolated
 	l.isolatedUntil = now + tuning.RejectionIsolation
+	if l.raised {
+		l.raised = false
+		l.raiseDelay = min(2*l.raiseDelay, tuning.MaxLimitRaiseDelay)
+	}
+	l.raiseAt = now + l.raiseDelay
 	if contents.writeCount() > 1 {
 		l.maxOps = min(l.maxOps, max(minTransactionOps, contents.operations/2))
 		return
@@ -45,6 +58,21 @@
 	}
 }
 
+// raise doubles lowered limits if nothing was rejected for a while. If the store still has the lower
+// ones, it rejects the next larger transaction, and they rise later the next time.
+func (l *storeLimits) raise(now time.Duration) {
+	if l.raiseAt == 0 || now < l.raiseAt {
+		return
+	}
+	l.raised = true
+	//mutation:lowered-limits-rise
+	l.maxOps, l.maxValueBytes = min(2*l.maxOps, l.settings.MaxTransactionOps), min(2*l.maxValueBytes, l.settings.MaxValueBytes)
+	l.raiseAt = now + l.raiseDelay
+	if l.maxOps == l.settings.MaxTransactionOps && l.maxValueBytes == l.settings.MaxValueBytes {
+		l.raiseAt = 0
+	}
+}
+
 // maxRecordBytes returns the size that a record may have.
 func (l *storeLimits) maxRecordBytes() int { return records.MaxBytes(l.maxValueBytes) }
 
--- a/internal/scheduler/store_limits_test.go
+++ b/internal/scheduler/store_limits_test.go
@@ -130,3 +130,72 @@
 		t.Errorf("%d more transactions were rejected in a minute", more)
 	}
 }
+
+// Guards against memory that grows with each refused write: what a refused transaction would have
+// written is kept once, however often it is refused.
+func TestRefusedWritesAreNotKept(t *testing.T) {
+	for name, refusal := range map[string]CommitResult{"unavailable": CommitRefused, "rate": CommitRateLimited, "size": CommitRejected} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.scheduler.settings.Teams["red"] = TeamQuota{CPUs: 8, MaxCPUs: 1000}
+			machines := []string{"n-1", "n-2", "n-3", "n-4", "n-6", "n-7"}
+			h.bringUp(machines...)
+			h.submit(wire.Job{ID: "run-000001", Tasks: 8, CPUs: 1})
+			h.answerAll(CallExecuted)
+			h.refuseCommits, h.refusal = true, refusal
+			h.completeAll(machines)
+			h.submit(wire.Job{ID: "run-000002", Tasks: 40, CPUs: 1})
+			p := &h.scheduler.persister
+			h.advanceRunning(5*time.Second, machines)
+			attempts, batches, deletions := len(p.unrecorded), len(p.batches), len(p.obsoleteKeys)
+			h.advanceRunning(5*time.Minute, machines)
+			if len(p.unrecorded) != attempts || len(p.batches) > batches || len(p.obsoleteKeys) > deletions || len(p.dirtyJobs) > 1 {
+				t.Errorf("after 5 s and 5 min: %d and %d queued attempts, %d and %d batches, %d and %d deletions; %d jobs",
+					attempts, len(p.unrecorded), batches, len(p.batches), deletions, len(p.obsoleteKeys), len(p.dirtyJobs))
+			}
+			h.refuseCommits = false
+			h.advanceRunning(2*tuning.MaxRejectionBackoff, machines)
+			if started := h.countRunning(machines); started != 40 {
+				t.Errorf("%d of 40 tasks started after the refusals had ended", started)
+			}
+		})
+	}
+}
+
+// Guards against limits that stay low for the rest of a term after the store has rejected everything
+// for a while, and against frequent rejections while the store keeps lower limits.
+func TestLoweredLimitsRiseAgain(t *testing.T) {
+	settings := Settings{MaxTransactionOps: 12, MaxValueBytes: 32 << 10}
+	limits := newStoreLimits(settings)
+	now := time.Hour
+	for range 30 {
+		now += tuning.StoreRetryDelay
+		limits.lower(now, &transactionContents{deletedKeys: make([]string, limits.maxOps), operations: limits.maxOps})
+		limits.lower(now, &transactionContents{deletedKeys: []string{"key"}, operations: 1, largestValueBytes: limits.maxValueBytes})
+	}
+	if limits.maxOps != minTransactionOps || limits.maxValueBytes != minValueBytes {
+		t.Errorf("after rejections of everything: %d operations, values of %d bytes", limits.maxOps, limits.maxValueBytes)
+	}
+	lowered := limits
+	for range 7 { // doublings from 256 bytes to 32 KiB
+		now += tuning.LimitRaiseDelay
+		limits.raise(now)
+	}
+	if limits.maxOps != settings.MaxTransactionOps || limits.maxValueBytes != settings.MaxValueBytes {
+		t.Errorf("%d operations, values of %d bytes after the rejections had ended", limits.maxOps, limits.maxValueBytes)
+	}
+
+	rejections := 0
+	const storeMaxOps = 4
+	for end := now + 24*time.Hour; now < end; now += time.Second {
+		lowered.raise(now)
+		if lowered.maxOps > storeMaxOps {
+			rejections++
+			lowered.lower(now, &transactionContents{deletedKeys: make([]string, lowered.maxOps), operations: lowered.maxOps})
+		}
+	}
+	// At most one in each MaxLimitRaiseDelay, and a few until the delay has grown to that.
+	if most := int(24*time.Hour/tuning.MaxLimitRaiseDelay) + 10; rejections > most {
+		t.Errorf("%d transactions were rejected in a day, at most %d expected", rejections, most)
+	}
+}
--- a/internal/tuning/kvstore.go
+++ b/internal/tuning/kvstore.go
@@ -13,6 +13,10 @@
 	// before a write is tried again that was rejected although it was alone.
 	RejectionIsolation  = 2 * time.Second
 	MaxRejectionBackoff = time.Minute
+	// LimitRaiseDelay is the time without rejections after which the leader doubles limits that it
+	// has lowered. It doubles each time that this leads to a rejection, up to MaxLimitRaiseDelay.
+	LimitRaiseDelay    = 30 * time.Second
+	MaxLimitRaiseDelay = 10 * time.Minute
 	// StoreRequestRateShare is the largest share of the deployment's request rate that one
 	// controller takes on average. StoreWriteRateShare is the largest share of the write rate
 	// that the leader takes. The rest is for submissions at the other controllers.
