--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -35,18 +35,7 @@
 		if violations := sim.firstViolations(); violations != "" {
 			t.Fatal(violations)
 		}
-		for _, j := range sim.jobs {
-			state := sim.pollJob(j.ID)
-			if state == wire.JobPending && !j.Service() {
-				t.Fatalf("%s with %d tasks is not done, %d tasks are on machines\n%s", j.ID, j.Tasks, sim.checker.PlacedTasks(j.ID), sim.describeJob(j.ID))
-			}
-			if state == wire.JobPending && sim.checker.PlacedTasks(j.ID) != j.Tasks {
-				t.Fatalf("service %s has %d of %d replicas", j.ID, sim.checker.PlacedTasks(j.ID), j.Tasks)
-			}
-			if state == wire.JobCancelled && sim.checker.PlacedTasks(j.ID) != 0 {
-				t.Fatalf("cancelled %s still has %d tasks", j.ID, sim.checker.PlacedTasks(j.ID))
-			}
-		}
+		sim.requireJobsSettled(t)
 		starts += sim.checker.Starts
 	})
 	if starts < 1000 {
@@ -54,6 +43,23 @@
 	}
 }
 
+// requireJobsSettled requires that all arrays are done or cancelled, that services have all their
+// replicas, and that nothing of a cancelled job is left.
+func (sim *simulation) requireJobsSettled(t interface{ Fatalf(string, ...any) }) {
+	for _, j := range sim.jobs {
+		state := sim.pollJob(j.ID)
+		if state == wire.JobPending && !j.Service() {
+			t.Fatalf("%s with %d tasks is not done, %d tasks are on machines\n%s", j.ID, j.Tasks, sim.checker.PlacedTasks(j.ID), sim.describeJob(j.ID))
+		}
+		if state == wire.JobPending && sim.checker.PlacedTasks(j.ID) != j.Tasks {
+			t.Fatalf("service %s has %d of %d replicas", j.ID, sim.checker.PlacedTasks(j.ID), j.Tasks)
+		}
+		if state == wire.JobCancelled && sim.checker.PlacedTasks(j.ID) != 0 {
+			t.Fatalf("cancelled %s still has %d tasks", j.ID, sim.checker.PlacedTasks(j.ID))
+		}
+	}
+}
+
 // firstViolations describes the first violations of invariants; empty if there are none.
 func (sim *simulation) firstViolations() string {
 	violations := sim.checker.Violations
--- a/internal/scheduler/simulation_calls_test.go
+++ b/internal/scheduler/simulation_calls_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/scheduler"
@@ -42,7 +43,7 @@
 		}
 		if !sim.acceptsWrites(len(commit.Txn.Then)) {
 			sim.refusedTransactions++
-			done(scheduler.CommitRefused, 0, nil)
+			done(scheduler.CommitRateLimited, 0, nil)
 			return
 		}
 		if sim.chance(sim.lossRate) {
@@ -61,9 +62,14 @@
 			case 409:
 				done(scheduler.CommitConflict, 0, reply.FailedKeys)
 			case 429:
-				done(scheduler.CommitRefused, 0, nil)
+				done(scheduler.CommitRateLimited, 0, nil)
+			case 400:
+				if !sim.limitsLowered {
+					panic("rejected transaction: " + reply.Error)
+				}
+				done(scheduler.CommitRejected, 0, nil)
 			default:
-				panic("malformed transaction: " + reply.Error)
+				panic(fmt.Sprintf("transaction answered with status %d", status))
 			}
 		})
 	})
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -69,6 +69,8 @@
 	writeBudget         float64 // changes that the store accepts at once, as of budgetRefilledAt
 	budgetRefilledAt    time.Duration
 	refusedTransactions int // leaders' transactions that exceeded writeBudget
+	// limitsLowered is set once the store has lower limits than the settings say.
+	limitsLowered bool
 
 	disabled        safeguard
 	traceLogs       bool                     // print the leaders' log lines
@@ -121,6 +123,8 @@
 	// userWriteRate is how many changes per second the key-value store accepts in addition to
 	// the leader's write rate, for users' transactions.
 	userWriteRate = 10
+	// maxValueBytes is the key-value store's limit on values.
+	maxValueBytes = 4096
 )
 
 func newSimulation(seed uint64) *simulation { return newSimulationWithSize(seed, smallSimulation) }
@@ -136,7 +140,7 @@
 		faultyMachines: map[string]bool{}, partitionedUntil: map[string]time.Duration{}, unreachableUntil: map[string]time.Duration{},
 		hungUntil: map[string]time.Duration{}, heartbeatsBlockedUntil: map[string]time.Duration{}, zonePartitionedUntil: map[string]time.Duration{},
 	}
-	sim.kvStore.WriteRate = size.writeRate + userWriteRate
+	sim.kvStore.WriteRate, sim.kvStore.MaxValueBytes = size.writeRate+userWriteRate, maxValueBytes
 	sim.checker = simulator.NewRuleChecker(map[string]float64{"red": size.maxTeamCPUs, "blue": size.maxTeamCPUs}, size.cancellationBound)
 	sim.checker.SetMachineTypes(sim.machineTypes)
 	sim.settings = simulationSettings(size, sim.workerLease)
@@ -156,7 +160,7 @@
 	return scheduler.Settings{
 		Teams:             map[string]scheduler.TeamQuota{"red": quota, "blue": quota},
 		HeartbeatInterval: size.heartbeatInterval, WorkerLease: workerLease, CancellationBound: size.cancellationBound,
-		MaxTransactionOps: 12, MaxValueBytes: 4096, WriteRate: size.writeRate,
+		MaxTransactionOps: 12, MaxValueBytes: maxValueBytes, WriteRate: size.writeRate,
 		Policy: policy.Defaults(policy.CostInsensitive),
 	}
 }
