Soak: the key-value store lowers its limits at times

Simulated deployments now also have the 4 KiB for a value that the settings of the tests and examples name.

--- a/internal/simulator/deployment.go
+++ b/internal/simulator/deployment.go
@@ -11,6 +11,7 @@
 // Settings of every simulated deployment.
 const (
 	maxTxnOps     = 12          // operations in one transaction of the key-value store
+	maxValueBytes = 4 << 10     // size of a value of the key-value store, in JSON
 	maxLogEntries = 10000       // changes that the key-value store keeps for watches
 	cancelGrace   = time.Minute // how long tasks of a cancelled job may stay on machines, by default
 )
@@ -27,6 +28,12 @@
 	CancelGrace       time.Duration      // how long tasks of a cancelled job may stay; 0: a minute
 }
 
+// DefaultKVStoreLimits returns the limits of the key-value store of a new deployment. It takes any
+// number of writes.
+func DefaultKVStoreLimits() KVStoreLimits {
+	return KVStoreLimits{MaxTxnOps: maxTxnOps, MaxValueBytes: maxValueBytes}
+}
+
 // Deployment serves a key-value store, a cloud, and an agent on each provisioned machine over
 // HTTP, in real time.
 type Deployment struct {
@@ -49,10 +56,12 @@
 	if config.CancelGrace == 0 {
 		config.CancelGrace = cancelGrace
 	}
+	kvStore := NewKVStore(maxTxnOps, maxLogEntries)
+	kvStore.KVStoreLimits = DefaultKVStoreLimits()
 	return &Deployment{
 		config:    config,
 		startedAt: time.Now(),
-		kvStore:   NewKVStore(maxTxnOps, maxLogEntries),
+		kvStore:   kvStore,
 		checker:   NewRuleChecker(config.QuotaLimits, config.CancelGrace),
 		cloud:     newCloud(),
 		workers:   map[string]*Worker{},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -158,6 +158,10 @@
 			func() { simulation.RefuseController(controllerName(target), false) })
 	case FaultOutage:
 		return infallible(simulation.StartKVStoreOutage, simulation.EndKVStoreOutage)
+	case FaultLowerLimits:
+		return infallible(
+			func() { simulation.SetKVStoreLimits(lowerLimits(fault.Share)) },
+			func() { simulation.SetKVStoreLimits(simulator.DefaultKVStoreLimits()) })
 	case FaultLostReplies, FaultLateWrites:
 		return infallible(
 			func() { simulation.InjectTransactionFaults(transactionFault(fault.Kind, late)) },
@@ -174,6 +178,23 @@
 	panic("unknown fault: " + fault.Kind)
 }
 
+// Bounds of the limits that the key-value store has during FaultLowerLimits.
+const (
+	minTransactionOps, maxTransactionOps = 2, 8
+	minValueBytes, maxValueBytes         = 600, 2000
+	minWriteRate, maxWriteRate           = 10.0, 60.0
+)
+
+// lowerLimits returns limits between those bounds; share 0 gives the lowest ones.
+func lowerLimits(share float64) simulator.KVStoreLimits {
+	between := func(lowest, highest float64) float64 { return lowest + share*(highest-lowest) }
+	return simulator.KVStoreLimits{
+		MaxTxnOps:     int(between(minTransactionOps, maxTransactionOps)),
+		MaxValueBytes: int(between(minValueBytes, maxValueBytes)),
+		WriteRate:     between(minWriteRate, maxWriteRate),
+	}
+}
+
 // kill returns the effect of killing processes and starting them again.
 func kill(ctx context.Context, processes ...*process) effect {
 	return effect{
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -26,6 +26,7 @@
 	FaultRefuse          FaultKind = "refuse"            // the key-value store refuses the controller
 	FaultOutage          FaultKind = "outage"            // the key-value store refuses everybody
 	FaultDelayStore      FaultKind = "delay store"       // slow requests to the key-value store
+	FaultLowerLimits     FaultKind = "lower limits"      // the key-value store has lower limits than the settings say
 	FaultLostReplies     FaultKind = "lost replies"      // transactions are carried out, answers are lost
 	FaultLateWrites      FaultKind = "late writes"       // transactions are carried out seconds later
 	FaultLateHeartbeats  FaultKind = "late heartbeats"   // copies of heartbeats arrive later
@@ -38,7 +39,7 @@
 func FaultKinds() []FaultKind {
 	return []FaultKind{
 		FaultKill, FaultKillAll, FaultPause, FaultCutPeers, FaultCutPeersOneWay, FaultRefusePeers, FaultCutStore, FaultCutStoreReplies,
-		FaultCutWorkers, FaultCutReplies, FaultRefuse, FaultOutage, FaultDelayStore, FaultLostReplies, FaultLateWrites,
+		FaultCutWorkers, FaultCutReplies, FaultRefuse, FaultOutage, FaultDelayStore, FaultLowerLimits, FaultLostReplies, FaultLateWrites,
 		FaultLateHeartbeats, FaultLateCommands, FaultHang, FaultPartition,
 	}
 }
