--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -21,8 +21,8 @@
 // take the lock briefly for reads and for changes that need no action of the scheduler:
 // election and leaderTerm (leadership), leaderWatch and pinger (peers), jobSync (the replica),
 // machineTypeSource, executor (the scheduler's calls), and userRequest, submission and jobReader
-// (users' requests). replicaRefresher, admission, requestCounts, healthCheckCounts and queryGaps
-// have their own synchronization.
+// (users' requests). replicaRefresher, admission, requestCounts, healthCheckCounts, queryGaps and
+// rejectionLog have their own synchronization.
 //
 // # Goroutines
 //
@@ -138,7 +138,7 @@
 	loops.Go(func() { c.jobSync.run(ctx) })
 	loops.Go(func() { c.runTicker(ctx) })
 	loops.Go(func() { newLeaderWatch(c).run(ctx) })
-	loops.Go(func() { (&requestReporter{controller: c}).run(ctx) })
+	loops.Go(func() { (&statusReporter{controller: c}).run(ctx) })
 	loops.Wait()
 }
 
--- a/internal/kvstore/client.go
+++ b/internal/kvstore/client.go
@@ -42,9 +42,6 @@
 	ErrRejected = errors.New("key-value store rejected the transaction as too large or malformed")
 )
 
-// leaseNotFoundMessage is the store's error message for a transaction with a lease that has ended.
-const leaseNotFoundMessage = "no such lease"
-
 // Client sends requests to the key-value store. It is safe for concurrent use.
 type Client struct {
 	// OnRejection is called for each transaction that the store rejects with ErrRejected. It may
@@ -187,90 +184,6 @@
 	}
 }
 
-// Commit runs a transaction and returns the revision of its changes. With ErrConflict it also
-// returns the keys whose comparisons failed.
-func (c *Client) Commit(ctx context.Context, priority Priority, txn wire.Txn) (revision uint64, failedKeys []string, err error) {
-	var reply wire.TxnReply
-	status, err := c.do(ctx, call{
-		priority: priority, timeout: tuning.StoreTimeout,
-		method: http.MethodPost, path: "/commit", body: txn, response: &reply,
-	})
-	if err == nil {
-		err = commitError(status, reply)
-	}
-	c.commits.add(err)
-	if errors.Is(err, ErrRejected) && c.OnRejection != nil {
-		c.OnRejection(newRejection(txn, err))
-	}
-	if err != nil && !errors.Is(err, ErrConflict) {
-		return 0, nil, fmt.Errorf("commit: %w", err)
-	}
-	return reply.Revision, reply.FailedKeys, err
-}
-
-// commitError returns the error for the store's response to a transaction, or nil if the
-// transaction was committed.
-func commitError(status int, reply wire.TxnReply) error {
-	switch {
-	case status == http.StatusOK && reply.Revision == 0:
-		return fmt.Errorf("%w: response without a revision", ErrOutcomeUnknown)
-	case status == http.StatusOK:
-		return nil
-	case status == http.StatusConflict:
-		return ErrConflict
-	case status == http.StatusBadRequest && reply.Error == leaseNotFoundMessage:
-		return ErrLeaseNotFound
-	case status == http.StatusBadRequest:
-		return fmt.Errorf("%w: %s", ErrRejected, reply.Error)
-	}
-	return unexpectedStatus(status)
-}
-
-// GrantLease creates a lease and returns its ID.
-func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (leaseID uint64, err error) {
-	var reply wire.LeaseReply
-	status, err := c.do(ctx, call{
-		priority: PriorityLeader, timeout: tuning.StoreTimeout,
-		method: http.MethodPost, path: "/holds", body: wire.LeaseRequest{TTLMilli: ttl.Milliseconds()}, response: &reply,
-	})
-	if err != nil {
-		return 0, fmt.Errorf("grant lease: %w", err)
-	}
-	if status != http.StatusOK || reply.ID == 0 {
-		return 0, fmt.Errorf("grant lease: %w", unexpectedStatus(status))
-	}
-	return reply.ID, nil
-}
-
-// RenewLease renews a lease. It returns ErrLeaseNotFound if the lease has ended.
-func (c *Client) RenewLease(ctx context.Context, leaseID uint64) error {
-	status, err := c.do(ctx, call{
-		priority: PriorityLeader, timeout: tuning.StoreTimeout,
-		method: http.MethodPost, path: fmt.Sprintf("/holds/%d/renew", leaseID), body: struct{}{},
-	})
-	switch {
-	case err != nil:
-		return fmt.Errorf("renew lease %d: %w", leaseID, err)
-	case status == http.StatusNotFound:
-		return fmt.Errorf("renew lease %d: %w", leaseID, ErrLeaseNotFound)
-	case status != http.StatusOK:
-		return fmt.Errorf("renew lease %d: %w", leaseID, unexpectedStatus(status))
-	}
-	return nil
-}
-
-// RevokeLease ends a lease, which deletes the keys attached to it.
-func (c *Client) RevokeLease(ctx context.Context, leaseID uint64) error {
-	_, err := c.do(ctx, call{
-		priority: PriorityLeader, timeout: tuning.StoreTimeout,
-		method: http.MethodDelete, path: fmt.Sprintf("/holds/%d", leaseID),
-	})
-	if err != nil {
-		return fmt.Errorf("revoke lease %d: %w", leaseID, err)
-	}
-	return nil
-}
-
 // Watch returns the changes after afterRevision to keys that start with prefix. If there are none
 // yet, it waits up to maxWait for the first. It returns ErrCompacted if the caller has to read the
 // keys again.
--- a/internal/scheduler/assignmentrestore.go
+++ b/internal/scheduler/assignmentrestore.go
@@ -62,9 +62,9 @@
 		}
 		m := s.restoreMachine(b, recorded)
 		for _, run := range entry.Runs {
-			jobID := record.Jobs[run[runJob]]
-			for i := range run[runLength] {
-				s.restoreAttempt(b, m, taskRef{jobID, int(run[runFirstTask] + i)}, record.Base+run[runFirstAttempt]+i)
+			jobID := record.Jobs[run[records.RunJobIndex]]
+			for i := range run[records.RunTaskCount] {
+				s.restoreAttempt(b, m, taskRef{jobID, int(run[records.RunFirstTask] + i)}, record.Base+run[records.RunFirstAttempt]+i)
 			}
 		}
 	}
--- a/internal/scheduler/batchencoder.go
+++ b/internal/scheduler/batchencoder.go
@@ -6,15 +6,6 @@
 	"github.com/yarrowgap/yarrowgap/wire"
 )
 
-// Indexes into a run of records.BatchMachine, which stands for consecutive tasks of a job whose
-// attempts have consecutive numbers.
-const (
-	runJob = iota
-	runFirstTask
-	runLength
-	runFirstAttempt
-)
-
 // Upper bounds in bytes of the parts of a batch in JSON, to which the protocol's size limits
 // refer, without the names themselves.
 const (
@@ -54,8 +45,8 @@
 		}
 		e.size += bytes
 		entry := e.machineEntry(a)
-		entry.Runs = append(entry.Runs, [4]uint64{
-			runJob: uint64(e.jobs.intern(a.ref.jobID)), runFirstTask: uint64(a.ref.index), runLength: 1, runFirstAttempt: a.number,
+		entry.Runs = append(entry.Runs, records.Run{
+			records.RunJobIndex: uint64(e.jobs.intern(a.ref.jobID)), records.RunFirstTask: uint64(a.ref.index), records.RunTaskCount: 1, records.RunFirstAttempt: a.number,
 		})
 	}
 	e.attempts = append(e.attempts, a)
@@ -72,10 +63,10 @@
 	}
 	runs := e.machines[index].Runs
 	last := &runs[len(runs)-1]
-	if e.jobs.names[last[runJob]] != a.ref.jobID || last[runFirstTask]+last[runLength] != uint64(a.ref.index) || last[runFirstAttempt]+last[runLength] != a.number {
+	if e.jobs.names[last[records.RunJobIndex]] != a.ref.jobID || last[records.RunFirstTask]+last[records.RunTaskCount] != uint64(a.ref.index) || last[records.RunFirstAttempt]+last[records.RunTaskCount] != a.number {
 		return false
 	}
-	last[runLength]++
+	last[records.RunTaskCount]++
 	return true
 }
 
@@ -134,7 +125,7 @@
 	}
 	for i := range e.machines {
 		for k := range e.machines[i].Runs {
-			e.machines[i].Runs[k][runFirstAttempt] -= base
+			e.machines[i].Runs[k][records.RunFirstAttempt] -= base
 		}
 	}
 	return records.Batch{
