Store the end of a job whose class takes more than a value may have

What callers would see: a job that has completed is never called done.

Evidence: TestEndOfJobWithLongClassIsStored fails without the omission (row in internal/mutation).

Why this works: the class is left out where it does not fit; no decision uses it.

--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -81,6 +81,12 @@
 		operator: setCondition(false),
 		test:     "internal/controller:^TestRejectedMachineTypeHoldsUpNoOther$",
 	},
+	{
+		scenario: "a job's class takes more than a value may have",
+		marker:   "ended-record-without-class",
+		operator: remove(),
+		test:     "internal/scheduler:^TestEndOfJobWithLongClassIsStored$",
+	},
 }
 
 const batchOfUsersNamesTest = "internal/scheduler:^TestBatchWithNamesOfUsersFitsValueLimit$"
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -38,6 +38,7 @@
 		func() { j.Job.MachineTypes = nil },
 		func() { j.Job.Image = "" },
 		func() { j.Job.Zone = "" },
+		func() { j.Job.Class = "" },
 	} {
 		if wire.JSONSize(j) <= maxBytes {
 			break
--- a/internal/scheduler/jobwrite.go
+++ b/internal/scheduler/jobwrite.go
@@ -73,6 +73,19 @@
 	return wire.JobDone
 }
 
+// endedRecord returns the permanent record of the job's end and its size in JSON. The record omits
+// the class, which is only for people, if it would take more than maxBytes.
+func (j *job) endedRecord(maxBytes int) (record records.EndedJob, bytes int) {
+	record = records.EndedJob{State: j.endState(), Done: j.progress.doneCount, Tasks: j.spec.Tasks, Class: j.spec.Class}
+	bytes = wire.JSONSize(record)
+	if bytes > maxBytes {
+		//mutation:ended-record-without-class
+		record.Class = ""
+		bytes = wire.JSONSize(record)
+	}
+	return record, bytes
+}
+
 // addEndedJobs writes the ends of jobs that are ready to be archived.
 func (p *persister) addEndedJobs(t *transaction) {
 	for _, j := range p.jobsDueForWrite(0) {
@@ -80,8 +93,7 @@
 		if !j.readyToArchive() || j.cancelled && p.mayBeInUnreadableRecord(j) {
 			continue
 		}
-		endedJob := records.EndedJob{State: j.endState(), Done: j.progress.doneCount, Tasks: j.spec.Tasks, Class: j.spec.Class}
-		bytes := wire.JSONSize(endedJob)
+		endedJob, bytes := j.endedRecord(p.limits.maxRecordBytes())
 		if !t.canAdd(2, bytes) {
 			return
 		}
--- a/internal/scheduler/jobwrite_limits_test.go
+++ b/internal/scheduler/jobwrite_limits_test.go
@@ -110,3 +110,18 @@
 		t.Errorf("progress over the limit counts as stored: %v; %d transactions were rejected", !large.progress.unsaved(), h.storeLimits.rejections)
 	}
 }
+
+// Guards against a completed job that is never called done, because the record of its end is larger
+// than the store's limit on values.
+func TestEndOfJobWithLongClassIsStored(t *testing.T) {
+	h := newHarnessWith(t, harnessConfig{modifySettings: func(s *Settings) { s.MaxValueBytes = 1 << 10 }})
+	h.storeLimits = &harnessStoreLimits{maxOps: 12, maxValueBytes: 1 << 10}
+	h.bringUp("n-1")
+	h.submit(wire.Job{ID: "run-000001", Class: strings.Repeat("<", 200), Tasks: 2, CPUs: 1})
+	h.answerAll(CallExecuted)
+	h.completeAll([]string{"n-1"})
+	h.advance(tuning.DoneFlushDelay+time.Second, "n-1")
+	if _, ended := h.items[records.EndedJobKey("run-000001")]; !ended || h.storeLimits.rejections > 0 {
+		t.Errorf("end recorded: %v, %d transactions rejected", ended, h.storeLimits.rejections)
+	}
+}
