Let a job's end not wait for its progress

What callers would see: a job of thousands of tasks, whose progress fits no value, is called done up to a minute late.

Cause: the delay after progress that does not fit held up all writes of the job, its end included.

Evidence: with the delay as before, TestTooLargeProgressDelaysNoOtherJob finds the end of the job waiting for its progress.

Why this works: progress and end have a delay each.

--- a/internal/scheduler/job.go
+++ b/internal/scheduler/job.go
@@ -47,11 +47,13 @@
 
 // jobWriteState tracks the writes of a job's records to the key-value store.
 type jobWriteState struct {
-	dirtySince     time.Duration // when the first unwritten change was made; 0: none
-	inFlight       bool          // a transaction with the job's records is in flight
-	blockedUntil   time.Duration // earliest time of the next write after a failed write
-	rejection      rejectionBackoff
-	chunkRevisions map[int]uint64 // mod revisions of the bitmap chunks under keys of their own, by chunk
+	dirtySince   time.Duration // when the first unwritten change was made; 0: none
+	inFlight     bool          // a transaction with the job's records is in flight
+	blockedUntil time.Duration // earliest time of the next write after a failed write
+	// rejectedProgress and rejectedEnd delay the next write of the job's progress, or of its end, after
+	// the store has rejected one that was alone in its transaction.
+	rejectedProgress, rejectedEnd rejectionBackoff
+	chunkRevisions                map[int]uint64 // mod revisions of the bitmap chunks under keys of their own, by chunk
 }
 
 // taskIndices hands out the indices of tasks to place.
--- a/internal/scheduler/jobwrite.go
+++ b/internal/scheduler/jobwrite.go
@@ -90,7 +90,7 @@
 func (p *persister) addEndedJobs(t *transaction) {
 	for _, j := range p.jobsDueForWrite(0) {
 		//mutation:end-waits-for-unreadable-records
-		if !j.readyToArchive() || j.cancelled && p.mayBeInUnreadableRecord(j) {
+		if !j.readyToArchive() || j.cancelled && p.mayBeInUnreadableRecord(j) || p.now.Mono < j.write.rejectedEnd.until {
 			continue
 		}
 		endedJob, bytes := j.endedRecord(p.limits.maxRecordBytes())
@@ -116,7 +116,7 @@
 // addJobProgress writes the done tasks of unfinished jobs.
 func (p *persister) addJobProgress(t *transaction) {
 	for _, j := range p.jobsDueForWrite(p.progressFlushDelay()) {
-		if j.readyToArchive() {
+		if j.readyToArchive() || p.now.Mono < j.write.rejectedProgress.until {
 			continue
 		}
 		if t.budgetLeft() < p.writeRate.perSecond*tuning.StartWriteReserve {
@@ -197,8 +197,7 @@
 // delayTooLargeProgress delays the next try to write a job's progress of which no part fits the
 // limit on values. Until the job ends its completed tasks stay in their assignment batches.
 func (p *persister) delayTooLargeProgress(j *job) {
-	delay := j.write.rejection.extend(p.now.Mono)
-	j.write.blockedUntil = j.write.rejection.until
+	delay := j.write.rejectedProgress.extend(p.now.Mono)
 	p.logInfo("job's progress exceeds the key-value store's limit on values", "job", j.id,
 		"max_value_bytes", p.limits.maxValueBytes, "retry_in_s", delay.Seconds())
 }
@@ -225,8 +224,11 @@
 	j := write.job
 	j.write.blockedUntil = p.now.Mono + tuning.StoreRetryDelay
 	if outcome.result == CommitRejected && outcome.alone {
-		delay := j.write.rejection.extend(p.now.Mono)
-		j.write.blockedUntil = j.write.rejection.until
+		rejected := &j.write.rejectedProgress
+		if write.ended {
+			rejected = &j.write.rejectedEnd
+		}
+		delay := rejected.extend(p.now.Mono)
 		p.logInfo("job record rejected by the key-value store", "job", j.id, "ended", write.ended, "retry_in_s", delay.Seconds())
 	}
 	for _, chunk := range write.chunks {
@@ -247,7 +249,7 @@
 
 func (p *persister) jobProgressWritten(write jobWrite, revision uint64) {
 	j := write.job
-	j.write.rejection = rejectionBackoff{}
+	j.write.rejectedProgress = rejectionBackoff{}
 	chunks := write.chunks
 	for _, chunk := range chunks {
 		j.write.chunkRevisions[chunk] = revision
--- a/internal/scheduler/jobwrite_limits_test.go
+++ b/internal/scheduler/jobwrite_limits_test.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// Guards against one job whose progress fits no value holding up the progress of all others.
+// Guards against one job whose progress fits no value holding up the progress of all others, or its
+// own end.
 func TestTooLargeProgressDelaysNoOtherJob(t *testing.T) {
 	h := newHarnessWith(t, harnessConfig{modifySettings: func(s *Settings) { s.MaxValueBytes = 1 << 10 }})
 	h.storeLimits = &harnessStoreLimits{maxOps: 12, maxValueBytes: 1 << 10}
@@ -106,8 +107,17 @@
 	if small.progress.unsaved() {
 		t.Error("the progress of the other job is not stored")
 	}
-	if !large.progress.unsaved() || h.storeLimits.rejections > 0 {
-		t.Errorf("progress over the limit counts as stored: %v; %d transactions were rejected", !large.progress.unsaved(), h.storeLimits.rejections)
+	if !large.progress.unsaved() {
+		t.Error("progress over the limit counts as stored")
+	}
+	large.progress.add(large.spec.Tasks - 1)
+	h.scheduler.persister.markDirtyIfReadyToArchive(large)
+	h.advance(time.Second)
+	if _, ended := h.items[records.EndedJobKey(large.id)]; !ended {
+		t.Error("the end of the job waits for its progress")
+	}
+	if h.storeLimits.rejections > 0 {
+		t.Errorf("%d transactions were rejected", h.storeLimits.rejections)
 	}
 }
 
