Lower no limit for a single record that the store rejects for ever

What callers would see: one record that the store never takes makes all assignments small again with each try, so that starts wait on a large fleet; and the progress of a job of many thousand tasks lowers the limit on values, and is itself delayed, where the store only takes fewer operations.

Cause: any write that was rejected alone halved the limit on values, also if the same write had been rejected before, or larger values had been stored. And a job's progress counted as one write, however many records it has.

Evidence: without the conditions TestRecordRejectedForEverLowersNoLimit ends with values of 1 KiB in place of 4, and with the count by jobs TestProgressInManyRecordsIsDivided stores 1 of 100 completed tasks.

Why this works: the first rejection of a size that the store has accepted lowers nothing, and a second one does, since the store may have lowered its limits meanwhile; a repeated rejection of a record that cannot be made smaller shows nothing new; and the records of a job's progress are isolated one by one.

--- a/internal/mutation/store_limits_test.go
+++ b/internal/mutation/store_limits_test.go
@@ -21,6 +21,12 @@
 		operator: remove(),
 		test:     "internal/scheduler:^TestWorkGoesOnAfterStoreLowersItsLimits$",
 	},
+	{
+		scenario: "the key-value store rejects one record for ever",
+		marker:   "accepted-size-is-no-limit",
+		operator: setCondition(false),
+		test:     "internal/scheduler:^TestRecordRejectedForEverLowersNoLimit$",
+	},
 	{
 		scenario: "the key-value store rejects all transactions for a while",
 		marker:   "lowered-limits-rise",
--- a/internal/scheduler/assignments.go
+++ b/internal/scheduler/assignments.go
@@ -208,6 +208,7 @@
 			p.removeFromBatch(earlier, a)
 		}
 		a.assignment.batches = []*assignmentBatch{b}
+		a.assignment.rejection = rejectionBackoff{}
 		if !a.assignment.durable {
 			a.assignment.durable = true
 			dispatcher.markDue(a.machine)
@@ -227,6 +228,20 @@
 	p.deleteIfUnneeded(b)
 }
 
+// rejectedBefore reports whether the batch cannot be made smaller, and one with an attempt of it was
+// rejected before.
+func (b *assignmentBatch) rejectedBefore() bool {
+	if !b.singleRun {
+		return false
+	}
+	for a := range b.neededBy {
+		if a.assignment.rejection.rejections > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // delayRejectedAttempts delays the next try to record the attempts of a batch that cannot be made
 // smaller.
 func (p *persister) delayRejectedAttempts(b *assignmentBatch) {
--- a/internal/scheduler/harness_test.go
+++ b/internal/scheduler/harness_test.go
@@ -132,7 +132,8 @@
 // harnessStoreLimits are limits of a key-value store that the scheduler's settings do not name.
 type harnessStoreLimits struct {
 	maxOps, maxValueBytes int
-	rejections            int // transactions that exceeded a limit
+	rejectedKey           string // transactions that set it are rejected; empty: none
+	rejections            int    // transactions that exceeded a limit
 
 	writeRate   float64 // changes per second; 0: unlimited
 	writeBudget tokenBucket
@@ -155,7 +156,7 @@
 func (l *harnessStoreLimits) rejects(txn wire.Txn) bool {
 	tooLarge := len(txn.Then) > l.maxOps || wire.JSONSize(txn) > wire.MaxBody
 	for _, op := range txn.Then {
-		tooLarge = tooLarge || op.Set != "" && wire.JSONSize(op.Value) > l.maxValueBytes
+		tooLarge = tooLarge || op.Set != "" && (wire.JSONSize(op.Value) > l.maxValueBytes || op.Set == l.rejectedKey)
 	}
 	if tooLarge {
 		l.rejections++
--- a/internal/scheduler/jobwrite.go
+++ b/internal/scheduler/jobwrite.go
@@ -21,6 +21,24 @@
 	chunks         []int          // chunks of the bitmap that are written under keys of their own
 }
 
+// recordCount returns the number of records that the write can be divided into. The end of a job is
+// indivisible.
+func (w *jobWrite) recordCount() int {
+	count := len(w.chunks)
+	if w.wroteJobRecord || w.ended {
+		count++
+	}
+	return count
+}
+
+// rejection returns the delay after rejections of such writes of the job.
+func (w *jobWrite) rejection() *rejectionBackoff {
+	if w.ended {
+		return &w.job.write.rejectedEnd
+	}
+	return &w.job.write.rejectedProgress
+}
+
 // markDirty marks a job as having unsaved changes.
 func (p *persister) markDirty(j *job) {
 	if j.write.dirtySince == 0 {
@@ -224,11 +242,7 @@
 	j := write.job
 	j.write.blockedUntil = p.now.Mono + tuning.StoreRetryDelay
 	if outcome.result == CommitRejected && outcome.alone {
-		rejected := &j.write.rejectedProgress
-		if write.ended {
-			rejected = &j.write.rejectedEnd
-		}
-		delay := rejected.extend(p.now.Mono)
+		delay := write.rejection().extend(p.now.Mono)
 		p.logInfo("job record rejected by the key-value store", "job", j.id, "ended", write.ended, "retry_in_s", delay.Seconds())
 	}
 	for _, chunk := range write.chunks {
--- a/internal/scheduler/jobwrite_limits_test.go
+++ b/internal/scheduler/jobwrite_limits_test.go
@@ -135,3 +135,23 @@
 		t.Errorf("end recorded: %v, %d transactions rejected", ended, h.storeLimits.rejections)
 	}
 }
+
+// Guards against a job whose completed tasks take many records counting as one that is too large,
+// when the store takes fewer operations in a transaction.
+func TestProgressInManyRecordsIsDivided(t *testing.T) {
+	h := newHarness(t)
+	h.storeLimits = &harnessStoreLimits{maxOps: minTransactionOps, maxValueBytes: 4096}
+	h.submit(wire.Job{ID: "run-000001", Tasks: wire.MaxTasks, CPUs: 1})
+	j := h.scheduler.cluster.jobs["run-000001"]
+	for task := 0; task < wire.MaxTasks; task += 1000 {
+		j.progress.add(task)
+	}
+	h.scheduler.persister.markDirty(j)
+	h.advance(30 * time.Second)
+	if j.progress.unsaved() {
+		t.Errorf("%d of %d completed tasks are stored", j.progress.savedCount, j.progress.doneCount)
+	}
+	if limit := h.scheduler.persister.limits.maxValueBytes; limit < 4096 {
+		t.Errorf("the limit on values was lowered to %d bytes", limit)
+	}
+}
--- a/internal/scheduler/persist.go
+++ b/internal/scheduler/persist.go
@@ -166,7 +166,8 @@
 }
 
 // handleCommitOutcome delays further writes after a refusal or an unknown outcome, lowers the rate
-// or the limits after a refusal because of them, and requeues deletions that may not have been executed.
+// or the limits after a refusal because of them, and requeues deletions that may not have been
+// executed.
 func (p *persister) handleCommitOutcome(contents *transactionContents, outcome commitOutcome) {
 	if outcome.result != CommitDone && outcome.result != CommitConflict {
 		p.blockedUntil = p.now.Mono + tuning.StoreRetryDelay
@@ -174,6 +175,7 @@
 	switch outcome.result {
 	case CommitDone:
 		p.writeRate.accepted = true
+		p.limits.accepted(contents)
 	case CommitRateLimited:
 		p.writeRate.lower(p.now.Mono)
 		p.writeBudget.tokens = min(p.writeBudget.tokens, 0)
--- a/internal/scheduler/store_limits.go
+++ b/internal/scheduler/store_limits.go
@@ -23,6 +23,10 @@
 	maxValueBytes int           // size of a value in JSON
 	isolatedUntil time.Duration // until then, each write gets a transaction of its own
 
+	// storedOps and storedValueBytes are the largest transaction and value that the store has
+	// accepted since a rejection that did not lower the limits.
+	storedOps, storedValueBytes int
+
 	settings   Settings
 	raiseAt    time.Duration // when the limits rise next; 0: they are those of the settings
 	raiseDelay time.Duration // time without rejections before they rise
@@ -39,7 +43,9 @@
 // lower lowers the limits after the store has rejected a transaction with the given contents. A
 // transaction with several writes may have had too many operations, or one of the writes may be
 // too large: isolating the writes for a while shows which. A write that is rejected alone is too
-// large.
+// large. The limits stay if the store has accepted as much before, because another write may be at
+// fault; but only once, because the store may have lowered its limits since. They also stay if the
+// same write was rejected before, which shows nothing new.
 func (l *storeLimits) lower(now time.Duration, contents *transactionContents) {
 	//mutation:rejected-writes-are-isolated
 	l.isolatedUntil = now + tuning.RejectionIsolation
@@ -48,16 +54,27 @@
 		l.raiseDelay = min(2*l.raiseDelay, tuning.MaxLimitRaiseDelay)
 	}
 	l.raiseAt = now + l.raiseDelay
-	if contents.writeCount() > 1 {
+	switch {
+	case contents.writeCount() > 1 && contents.operations <= l.storedOps:
+		l.storedOps = 0
+	case contents.writeCount() > 1:
 		l.maxOps = min(l.maxOps, max(minTransactionOps, contents.operations/2))
-		return
-	}
-	if contents.largestValueBytes > 0 {
+	case contents.rejectedBefore():
+	//mutation:accepted-size-is-no-limit
+	case contents.largestValueBytes <= l.storedValueBytes:
+		l.storedValueBytes = 0
+	default:
 		//mutation:rejected-value-halves-limit
 		l.maxValueBytes = min(l.maxValueBytes, max(minValueBytes, contents.largestValueBytes/2))
 	}
 }
 
+// accepted records that the store has executed a transaction with the given contents.
+func (l *storeLimits) accepted(contents *transactionContents) {
+	l.storedOps = max(l.storedOps, contents.operations)
+	l.storedValueBytes = max(l.storedValueBytes, contents.largestValueBytes)
+}
+
 // raise doubles lowered limits if nothing was rejected for a while. If the store still has the lower
 // ones, it rejects the next larger transaction, and they rise later the next time.
 func (l *storeLimits) raise(now time.Duration) {
--- a/internal/scheduler/store_limits_test.go
+++ b/internal/scheduler/store_limits_test.go
@@ -199,3 +199,57 @@
 		t.Errorf("%d transactions were rejected in a day, at most %d expected", rejections, most)
 	}
 }
+
+// Guards against one record that the store rejects for ever making the transactions of all others
+// small.
+func TestRecordRejectedForEverLowersNoLimit(t *testing.T) {
+	h := newHarness(t)
+	h.scheduler.settings.Teams["red"] = TeamQuota{CPUs: 8, MaxCPUs: 1000}
+	var machines []string
+	for i := range 20 {
+		machines = append(machines, fmt.Sprintf("n-%02d", i))
+	}
+	h.bringUp(machines...)
+	h.storeLimits = &harnessStoreLimits{maxOps: 12, maxValueBytes: 4096, rejectedKey: records.EndedJobKey("run-000001")}
+	for i := range 60 { // jobs that end, one after another
+		h.submit(wire.Job{ID: fmt.Sprintf("run-%06d", i+1), Tasks: 20, CPUs: 8})
+		h.advanceRunning(2*time.Second, machines)
+		h.completeAll(machines)
+		h.advanceRunning(2*time.Second, machines)
+	}
+	if h.storeLimits.rejections == 0 {
+		t.Error("no transaction was rejected")
+	}
+	if limits := h.scheduler.persister.limits; limits.maxValueBytes < 4096 || limits.maxOps < 12 {
+		t.Errorf("limits lowered to values of %d bytes and %d operations", limits.maxValueBytes, limits.maxOps)
+	}
+	for i := range 60 {
+		_, ended := h.items[records.EndedJobKey(fmt.Sprintf("run-%06d", i+1))]
+		if ended != (i > 0) {
+			t.Errorf("end of job %d recorded: %v", i+1, ended)
+		}
+	}
+}
+
+// Guards against limits that fall with each rejection of a record that is at fault by itself, and
+// against limits that never fall because the store once accepted more.
+func TestRejectionOfAcceptedSizeLowersLimitsTheSecondTime(t *testing.T) {
+	together := &transactionContents{deletedKeys: make([]string, 12), operations: 12}
+	alone := &transactionContents{jobWrites: []jobWrite{{job: &job{}, ended: true}}, operations: 2, largestValueBytes: 3000}
+	limits := newStoreLimits(Settings{MaxTransactionOps: 12, MaxValueBytes: 4096})
+	limits.accepted(together)
+	limits.accepted(alone)
+	limits.lower(time.Hour, together)
+	limits.lower(time.Hour, alone)
+	if limits.maxOps != 12 || limits.maxValueBytes != 4096 {
+		t.Errorf("after the first rejections: %d operations, values of %d bytes", limits.maxOps, limits.maxValueBytes)
+	}
+	if !limits.isolated(time.Hour) {
+		t.Error("the writes are not isolated")
+	}
+	limits.lower(time.Hour, together)
+	limits.lower(time.Hour, alone)
+	if limits.maxOps != 6 || limits.maxValueBytes != 1500 {
+		t.Errorf("after the second rejections: %d operations, values of %d bytes", limits.maxOps, limits.maxValueBytes)
+	}
+}
--- a/internal/scheduler/transaction.go
+++ b/internal/scheduler/transaction.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"slices"
+
 	"github.com/yarrowgap/yarrowgap/internal/records"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
@@ -34,9 +36,21 @@
 	largestValueBytes int // upper bound of the size of the largest value; 0: there are only deletions
 }
 
-// writeCount returns the number of batches, jobs and deletions, which can be written separately.
+// writeCount returns the number of batches, records of jobs and deletions, which can be written
+// separately.
 func (c *transactionContents) writeCount() int {
-	return len(c.batches) + len(c.jobWrites) + len(c.deletedKeys)
+	count := len(c.batches) + len(c.deletedKeys)
+	for i := range c.jobWrites {
+		count += c.jobWrites[i].recordCount()
+	}
+	return count
+}
+
+// rejectedBefore reports whether the transaction has a write that cannot be made smaller and was
+// rejected before although it was alone.
+func (c *transactionContents) rejectedBefore() bool {
+	return slices.ContainsFunc(c.batches, (*assignmentBatch).rejectedBefore) ||
+		slices.ContainsFunc(c.jobWrites, func(write jobWrite) bool { return write.rejection().rejections > 0 })
 }
 
 func (p *persister) newTransaction() *transaction {
