--- a/internal/scheduler/jobwrite.go
+++ b/internal/scheduler/jobwrite.go
@@ -107,8 +107,11 @@
 // addEndedJobs writes the ends of jobs that are ready to be archived.
 func (p *persister) addEndedJobs(t *transaction) {
 	for _, j := range p.jobsDueForWrite(0) {
+		if p.now.Mono < j.write.rejectedEnd.until {
+			continue
+		}
 		//mutation:end-waits-for-unreadable-records
-		if !j.readyToArchive() || j.cancelled && p.mayBeInUnreadableRecord(j) || p.now.Mono < j.write.rejectedEnd.until {
+		if !j.readyToArchive() || j.cancelled && p.mayBeInUnreadableRecord(j) {
 			continue
 		}
 		endedJob, bytes := j.endedRecord(p.limits.maxRecordBytes())
