--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,6 +6,6 @@
 mkdir -p target/review-2
 for folder in review/[4-8]; do
 	if [ -f "$folder/main.go" ]; then
-		go build -o "target/review-2/case$(basename "$folder")" "./$folder"
+		go build -tags review -o "target/review-2/case$(basename "$folder")" "./$folder"
 	fi
 done
--- a/review/standin2/doc.go
+++ b/review/standin2/doc.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package standin2 has the stand-ins of the review cases 4 to 8: a state service, a cloud, workers,
 // users, and links that can be cut, all on loopback addresses and the real clock. It starts the
 // project's own controllers as separate processes with the commands of the deploy file.
--- a/review/standin2/http.go
+++ b/review/standin2/http.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package standin2
 
 import (
--- a/review/standin2/link.go
+++ b/review/standin2/link.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package standin2
 
 import (
@@ -19,6 +21,7 @@
 	conns    map[*net.TCPConn]bool
 	held     bool
 	released *sync.Cond
+	onSent   func(data []byte) // see OnSent
 }
 
 // NewLink listens on a free loopback address and forwards to target.
@@ -67,6 +70,23 @@
 	return nil
 }
 
+// OnSent sets a function that is called with each piece that a client has sent, once it was passed on to
+// the server.
+func (l *Link) OnSent(call func(data []byte)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onSent = call
+}
+
+func (l *Link) sent(data []byte) {
+	l.mu.Lock()
+	call := l.onSent
+	l.mu.Unlock()
+	if call != nil {
+		call(data)
+	}
+}
+
 // Hold keeps back all that is sent in either direction until Release. New connections get no answer.
 func (l *Link) Hold() {
 	l.mu.Lock()
@@ -124,8 +144,8 @@
 		_ = server.Close()
 	}
 	var both sync.WaitGroup
-	both.Go(func() { l.copy(server, client) })
-	both.Go(func() { l.copy(client, server) })
+	both.Go(func() { l.copy(server, client, l.sent) })
+	both.Go(func() { l.copy(client, server, func([]byte) {}) })
 	both.Wait()
 	l.mu.Lock()
 	delete(l.conns, client)
@@ -135,8 +155,9 @@
 	_ = server.Close()
 }
 
-// copy forwards one direction until it ends, and then ends it at the other side.
-func (l *Link) copy(to, from *net.TCPConn) {
+// copy forwards one direction until it ends, and then ends it at the other side. It calls sent for what
+// it has forwarded.
+func (l *Link) copy(to, from *net.TCPConn, sent func(data []byte)) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
@@ -145,6 +166,7 @@
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
+			sent(buffer[:n])
 		}
 		switch {
 		case errors.Is(err, io.EOF):
