--- a/review/standin2/user.go
+++ b/review/standin2/user.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		panic(err) // a case made a job that cannot be encoded
 	}
+	d.record.Printf("user: submits %s: %d tasks of %s, team %s", job.ID, job.Tasks, job.Class, job.Team)
 	return d.request(node, http.MethodPost, "/v2/runs", body, 5*time.Second)
 }
 
