Log which peer answered a forwarded request, in which state and after how long

Which of these a user's older answer came from could not be told from the logs: the controller's own read, a peer that answered with an old state, or a peer's answer that was held up on its way. The controller that forwards now logs the peer, the state and the time taken, and the peer logs what it answered and when. Debug level; no change of behaviour.

--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -16,6 +16,17 @@
 	Error  string
 }
 
+// jobState returns the state of the job that the answer gives, or "" if it gives none.
+func (a Answer) jobState() string {
+	switch {
+	case a.View != nil:
+		return a.View.State
+	case a.State != nil:
+		return a.State.State
+	}
+	return ""
+}
+
 func stateAnswer(status int, id, state string) Answer {
 	return Answer{Status: status, State: &wire.JobStateReply{ID: id, State: state}}
 }
--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -57,10 +57,14 @@
 		return Answer{}, false
 	}
 	for _, target := range targets {
+		sentAt := time.Now()
 		reply, err := c.peerClient.Forward(context.Background(), target.Addr, request, tuning.ForwardTimeout)
 		if err == nil && reply.Status != http.StatusServiceUnavailable && reply.Status != http.StatusTooManyRequests {
 			c.requestCounts.add(request.Kind, outcomeAnsweredByPeer)
-			return Answer{Status: reply.Status, View: reply.View, State: reply.State, Error: reply.Error}, true
+			answer := Answer{Status: reply.Status, View: reply.View, State: reply.State, Error: reply.Error}
+			c.log.Debug("request answered by a peer", "kind", string(request.Kind), "job", request.ID, "peer", target.Name,
+				"status", answer.Status, "state", answer.jobState(), "took_ms", time.Since(sentAt).Milliseconds())
+			return answer, true
 		}
 		c.mu.Lock()
 		target.declinedAt = time.Now()
@@ -73,6 +77,7 @@
 // HandleForward serves a request that a peer forwarded.
 func (c *Controller) HandleForward(ctx context.Context, request peer.ForwardRequest) peer.ForwardReply {
 	var answer Answer
+	receivedAt := time.Now()
 	switch request.Kind {
 	case peer.KindSubmit:
 		if body, ok := peer.DecodeBytes(request.Body); ok {
@@ -87,5 +92,7 @@
 	default:
 		answer = errorAnswer(http.StatusBadRequest, "unknown kind")
 	}
+	c.log.Debug("forwarded request answered", "kind", string(request.Kind), "job", request.ID,
+		"status", answer.Status, "state", answer.jobState(), "took_ms", time.Since(receivedAt).Milliseconds())
 	return peer.ForwardReply{Status: answer.Status, View: answer.View, State: answer.State, Error: answer.Error}
 }
