Give no answer that is older than one that the user may have got elsewhere

Cause: an answer that waits on its way was given whatever its age.

Why this works: every answer carries the time in which it may be given. A state that may still change is given only until MaxAnswerAge (500 ms, as before) after its read was sent; forwarded answers carry the delay of the peer's read. A final state is given only 510 ms after it was first seen in the store. By then every answer from an earlier read is too old, wherever it waits, and later reads show the final state. An answer that is too old is made again for up to 1.2 s, then the user is asked to retry.

Cost: a cancellation is confirmed, and a fresh end told, half a second later. Not closed: a query sent before a submission is answered may still get 404 up to 0.5 s after its 201, since a delay of every 201 would miss the users' aim for submissions.

--- a/internal/api/harness_test.go
+++ b/internal/api/harness_test.go
@@ -43,6 +43,8 @@
 	userAddrs     []string // each controller's address for users, workers and operators
 	peerAddrs     []string // each controller's address for the other controllers
 	controllers   []*runningController
+	storeGates    []*gate // between each controller and the key-value store
+	peerGates     []*gate // in front of each controller's handler for its peers
 }
 
 // runningController is a controller with its HTTP servers, in place of a process.
@@ -78,9 +80,10 @@
 		c.peerAddrs = append(c.peerAddrs, peerListener.Addr().String())
 	}
 	c.simulation = c.newSimulation(teamLimit)
-	storeAddr, cloudAddr := c.serveSimulation()
+	storeAddrs, cloudAddr := c.serveSimulation(size)
 	for i := range size {
-		c.settingsFiles = append(c.settingsFiles, c.renderSettings(i, storeAddr, cloudAddr, teamLimit))
+		c.peerGates = append(c.peerGates, &gate{})
+		c.settingsFiles = append(c.settingsFiles, c.renderSettings(i, storeAddrs[i], cloudAddr, teamLimit))
 		c.startController(i, userListeners[i], peerListeners[i])
 	}
 	tb.Cleanup(c.stopAllControllers)
@@ -100,18 +103,26 @@
 	})
 }
 
-// serveSimulation serves the key-value store and the cloud until the test ends.
-func (c *cluster) serveSimulation() (storeAddr, cloudAddr string) {
+// serveSimulation serves the cloud, and the key-value store at an address for each controller, until
+// the test ends.
+func (c *cluster) serveSimulation(controllers int) (storeAddrs []string, cloudAddr string) {
 	c.tb.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	store, cloud := httptest.NewServer(c.simulation.KVStoreHandler()), httptest.NewServer(c.simulation.CloudHandler(ctx))
-	c.tb.Cleanup(func() {
-		cancel()
-		store.CloseClientConnections()
-		store.Close()
-		cloud.Close()
-	})
-	return store.Listener.Addr().String(), cloud.Listener.Addr().String()
+	c.tb.Cleanup(cancel)
+	storeHandler := c.simulation.KVStoreHandler()
+	for range controllers {
+		storeGate := &gate{}
+		store := httptest.NewServer(storeGate.before(storeHandler))
+		c.tb.Cleanup(func() {
+			store.CloseClientConnections()
+			store.Close()
+		})
+		c.storeGates = append(c.storeGates, storeGate)
+		storeAddrs = append(storeAddrs, store.Listener.Addr().String())
+	}
+	cloud := httptest.NewServer(c.simulation.CloudHandler(ctx))
+	c.tb.Cleanup(cloud.Close)
+	return storeAddrs, cloud.Listener.Addr().String()
 }
 
 func controllerName(i int) string { return fmt.Sprintf("drover-%d", i) }
@@ -162,7 +173,7 @@
 	ctl := controller.New(cfg, c.policy, log)
 	handler := api.NewHandler(ctl, log, func() api.ConnectionLoad { return api.KeepConnections })
 	userServer := httpserver.New(handler, api.NonBlocking, log)
-	peerServer := &http.Server{Handler: api.NewPeerHandler(ctl, log)}
+	peerServer := &http.Server{Handler: c.peerGates[i].before(api.NewPeerHandler(ctl, log))}
 	go func() { _ = userServer.Serve(userListener) }()
 	go func() { _ = peerServer.Serve(peerListener) }()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/controller/admission_test.go
+++ b/internal/controller/admission_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/records"
+	"github.com/yarrowgap/yarrowgap/internal/scheduler"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -15,7 +16,7 @@
 // larger lag. Heartbeats are never refused for it.
 func TestOverloadShedsSubmissionsBeforeQueriesBeforeHeartbeats(t *testing.T) {
 	c := newTestController(t)
-	c.replication.replica.CacheEnded("run-000001", records.EndedJob{State: wire.JobDone, Done: 1, Tasks: 1})
+	c.replication.replica.CacheEnded("run-000001", scheduler.EndedJob{Record: records.EndedJob{State: wire.JobDone, Done: 1, Tasks: 1}})
 	heartbeat := &wire.Heartbeat{Machine: "n-1", Address: "a:1", Incarnation: 1, Sequence: 1}
 	for _, tc := range []struct {
 		lag           time.Duration
--- a/internal/controller/answer.go
+++ b/internal/controller/answer.go
@@ -10,12 +10,25 @@
 // a cancellation, and Error if the request failed. Answers with status 503 or 429 are sent with
 // a Retry-After header.
 type Answer struct {
-	Status int
-	View   *wire.JobView
-	State  *wire.JobStateReply
-	Error  string
+	Status   int
+	View     *wire.JobView
+	State    *wire.JobStateReply
+	Error    string
+	validity validity
 }
 
+// during returns the answer with the given validity.
+func (a Answer) during(v validity) Answer {
+	a.validity = v
+	return a
+}
+
+// hasFinalState reports whether the answer gives a job's final state.
+func (a Answer) hasFinalState() bool { return isFinal(a.jobState()) }
+
+// isFinal reports whether a job's state is final.
+func isFinal(state string) bool { return state == wire.JobDone || state == wire.JobCancelled }
+
 // jobState returns the state of the job that the answer gives, or "" if it gives none.
 func (a Answer) jobState() string {
 	switch {
--- a/internal/controller/cancel.go
+++ b/internal/controller/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/kvstore"
 	"github.com/yarrowgap/yarrowgap/internal/peer"
@@ -18,6 +19,11 @@
 	if !wire.ValidJobID(id) {
 		return jobNotFoundAnswer
 	}
+	return c.answerInTime(ctx, peer.KindCancel, origin, func() Answer { return c.cancel(ctx, id, origin) })
+}
+
+// cancel handles a cancellation once.
+func (c *Controller) cancel(ctx context.Context, id string, origin Origin) Answer {
 	release, refusal := c.admission.admitQueryOrCancel()
 	if release == nil {
 		c.requestCounts.add(peer.KindCancel, refusal)
@@ -39,14 +45,14 @@
 // job again shows whether that write was executed.
 func (r userRequest) tryCancel(ctx context.Context, id string) (answer Answer, final bool) {
 	c := r.controller
-	view, found, err := c.lookUpJob(ctx, id)
+	snapshot, err := c.lookUpJob(ctx, id)
 	switch {
 	case err != nil:
 		return r.forwardOrRefuse(err), true
-	case !found:
-		return jobNotFoundAnswer, true
-	case view.State == wire.JobCancelled || view.State == wire.JobDone:
-		return stateAnswer(http.StatusOK, id, view.State), true
+	case !snapshot.found:
+		return jobNotFoundAnswer.during(snapshot.validity()), true
+	case isFinal(snapshot.view.State):
+		return stateAnswer(http.StatusOK, id, snapshot.view.State).during(snapshot.validity()), true
 	}
 	c.mu.Lock()
 	live := c.replication.replica.Live[id]
@@ -58,7 +64,7 @@
 	switch {
 	case err == nil:
 		c.update(func() { c.confirmCancellation(id) })
-		return stateAnswer(http.StatusOK, id, wire.JobCancelled), true
+		return stateAnswer(http.StatusOK, id, wire.JobCancelled).during(finalStateSeenAt(time.Now())), true
 	case errors.Is(err, kvstore.ErrConflict), errors.Is(err, kvstore.ErrOutcomeUnknown) && ctx.Err() == nil:
 		return Answer{}, false
 	}
--- a/internal/controller/forwarding.go
+++ b/internal/controller/forwarding.go
@@ -62,6 +62,7 @@
 		if err == nil && reply.Status != http.StatusServiceUnavailable && reply.Status != http.StatusTooManyRequests {
 			c.requestCounts.add(request.Kind, outcomeAnsweredByPeer)
 			answer := Answer{Status: reply.Status, View: reply.View, State: reply.State, Error: reply.Error}
+			answer.validity = replyValidity(reply, answer.hasFinalState(), sentAt, time.Now())
 			c.log.Debug("request answered by a peer", "kind", string(request.Kind), "job", request.ID, "peer", target.Name,
 				"status", answer.Status, "state", answer.jobState(), "took_ms", time.Since(sentAt).Milliseconds())
 			return answer, true
@@ -94,5 +95,7 @@
 	}
 	c.log.Debug("forwarded request answered", "kind", string(request.Kind), "job", request.ID,
 		"status", answer.Status, "state", answer.jobState(), "took_ms", time.Since(receivedAt).Milliseconds())
-	return peer.ForwardReply{Status: answer.Status, View: answer.View, State: answer.State, Error: answer.Error}
+	reply := peer.ForwardReply{Status: answer.Status, View: answer.View, State: answer.State, Error: answer.Error}
+	answer.validity.addTo(&reply, receivedAt, time.Now())
+	return reply
 }
--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -19,7 +19,7 @@
 	if !wire.ValidJobID(id) {
 		return jobNotFoundAnswer
 	}
-	answer := c.answerQuery(ctx, id, origin)
+	answer := c.answerInTime(ctx, peer.KindQuery, origin, func() Answer { return c.answerQuery(ctx, id, origin) })
 	switch {
 	case answer.Status != http.StatusServiceUnavailable:
 		c.queryGaps.answered(id)
@@ -46,29 +46,26 @@
 	defer release()
 	ctx, cancel := context.WithTimeout(ctx, tuning.LocalQueryTimeout)
 	defer cancel()
-	view, found, err := c.lookUpJob(ctx, id)
-	switch {
-	case err != nil:
+	snapshot, err := c.lookUpJob(ctx, id)
+	if err != nil {
 		return userRequest{c, peer.ForwardRequest{Kind: peer.KindQuery, ID: id}, origin}.forwardOrRefuse(err)
-	case !found:
-		c.requestCounts.add(peer.KindQuery, outcomeAnswered)
-		return jobNotFoundAnswer
 	}
 	c.requestCounts.add(peer.KindQuery, outcomeAnswered)
-	return Answer{Status: http.StatusOK, View: &view}
+	if !snapshot.found {
+		return jobNotFoundAnswer.during(snapshot.validity())
+	}
+	return Answer{Status: http.StatusOK, View: &snapshot.view, validity: snapshot.validity()}
 }
 
-// lookUpJob returns a job's state as of some time after the call began. found is false if the job
-// was never accepted; an error means that the state cannot be determined now. If the process was
-// paused after the read, the state is read again, since another controller may have told the user
-// a newer state during the pause.
-func (c *Controller) lookUpJob(ctx context.Context, id string) (view wire.JobView, found bool, err error) {
-	var snapshot jobSnapshot
+// lookUpJob returns a job's state as of some time after the call began. An error means that the state
+// cannot be determined now. If the read took long or the process was paused after it, the state is
+// read again, since another controller may have told the user a newer state meanwhile.
+func (c *Controller) lookUpJob(ctx context.Context, id string) (snapshot jobSnapshot, err error) {
 	err = readUntilFresh(func() (readAt time.Time, err error) {
 		snapshot, err = jobReader{c, id}.read(ctx)
 		return snapshot.readAt, err
 	})
-	return snapshot.view, snapshot.found, err
+	return snapshot, err
 }
 
 // readUntilFresh repeats a read until its result is younger than tuning.MaxAnswerAge. It returns
@@ -88,18 +85,28 @@
 	id         string
 }
 
-// jobSnapshot is a job's state as of readAt. found is false if the job does not exist.
+// jobSnapshot is a job's state as of readAt, when the read was sent that shows it, or later. found is
+// false if the job was never accepted.
 type jobSnapshot struct {
-	view   wire.JobView
-	found  bool
-	readAt time.Time
+	view        wire.JobView
+	found       bool
+	readAt      time.Time
+	finalSeenAt time.Time // of a final state: when it was first seen in the key-value store
+}
+
+// validity returns the time in which the state may be told to a user.
+func (s jobSnapshot) validity() validity {
+	if s.found && isFinal(s.view.State) {
+		return finalStateSeenAt(s.finalSeenAt)
+	}
+	return stateReadAt(s.readAt)
 }
 
 // read reads the job's state once. It brings the replica up to date and reads the state from it,
 // or from the key-value store if the replica cannot tell whether the job exists.
 func (r jobReader) read(ctx context.Context) (snapshot jobSnapshot, err error) {
-	if view, ok := r.endedInReplica(); ok { // the state of an ended job is final
-		return jobSnapshot{view, true, time.Now()}, nil
+	if ended, ok := r.endedInReplica(); ok { // the state of an ended job is final
+		return ended, nil
 	}
 	//mutation:query-reads-fresh
 	if snapshot.readAt, err = r.controller.jobSync.refresher.refresh(ctx); err != nil {
@@ -109,15 +116,18 @@
 	if conclusive {
 		return snapshot, nil
 	}
-	return r.readEndedRecord(ctx, resetCount)
+	return r.readEndedRecord(ctx, snapshot.readAt, resetCount)
 }
 
-func (r jobReader) endedInReplica() (view wire.JobView, ok bool) {
+func (r jobReader) endedInReplica() (snapshot jobSnapshot, ok bool) {
 	c := r.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ended, ok := c.replication.replica.CachedEnded(r.id)
-	return endedView(r.id, ended), ok
+	if !ok {
+		return snapshot, false
+	}
+	return c.endedSnapshot(r.id, ended, time.Now()), true
 }
 
 // readReplica reads the job's state from the replica, which was brought up to date at readAt.
@@ -128,12 +138,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	snapshot.readAt = readAt
-	live := c.replication.replica.Live[id]
-	if live != nil {
+	if live := c.replication.replica.Live[id]; live != nil {
 		snapshot.view, snapshot.found = c.liveView(id, live), true
+		snapshot.finalSeenAt = c.replication.revisions.seenAt(live.ModRevision, time.Now())
 	}
 	if ended, ok := c.replication.replica.CachedEnded(id); ok {
-		snapshot.view, snapshot.found = endedView(id, ended), true
+		snapshot = c.endedSnapshot(id, ended, readAt)
 	}
 	return snapshot, c.replication.replica.Resets, snapshot.found || c.replication.replica.Absent(id)
 }
@@ -141,28 +151,30 @@
 // readEndedRecord reads the record of a job that is not live from the key-value store. The replica
 // remembers the result, so that repeated queries for an ID need no further read. The read has low
 // priority: queries for many jobs that nobody submitted must not use up the request rate that
-// queries for existing jobs need. resetCount is how often the replica had been reset before the
-// read.
-func (r jobReader) readEndedRecord(ctx context.Context, resetCount int) (jobSnapshot, error) {
+// queries for existing jobs need. The replica, as read at notLiveAt, showed that the job is not live;
+// it had been reset resetCount times before.
+func (r jobReader) readEndedRecord(ctx context.Context, notLiveAt time.Time, resetCount int) (jobSnapshot, error) {
 	c, id := r.controller, r.id
 	item, err := c.store.Get(ctx, kvstore.PriorityBackground, records.EndedJobKey(id))
-	snapshot := jobSnapshot{readAt: time.Now()}
+	//mutation:absence-since-first-read
+	absent := jobSnapshot{readAt: notLiveAt}
 	if err != nil {
-		return snapshot, err
+		return absent, err
 	}
 	if item.ModRevision == 0 {
 		r.cacheAbsence(resetCount)
-		return snapshot, nil
+		return absent, nil
 	}
-	var ended records.EndedJob
-	if err := wire.Unmarshal(item.Value, &ended); err != nil {
-		return snapshot, fmt.Errorf("decode %s: %w", item.Key, err)
+	var record records.EndedJob
+	if err := wire.Unmarshal(item.Value, &record); err != nil {
+		return absent, fmt.Errorf("decode %s: %w", item.Key, err)
 	}
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	ended := scheduler.EndedJob{Record: record, ModRevision: item.ModRevision}
+	c.replication.revisions.observe(item.ModRevision, time.Now())
 	c.replication.replica.CacheEnded(id, ended)
-	c.mu.Unlock()
-	snapshot.view, snapshot.found = endedView(id, ended), true
-	return snapshot, nil
+	return c.endedSnapshot(id, ended, time.Now()), nil
 }
 
 // cacheAbsence records in the replica that the job does not exist, as found by a read that was
@@ -179,8 +191,14 @@
 	}
 }
 
-func endedView(id string, record records.EndedJob) wire.JobView {
-	return wire.JobView{ID: id, State: record.State, Done: record.Done}
+// endedSnapshot describes an ended job for a user's request. Called with the lock held.
+func (c *Controller) endedSnapshot(id string, ended scheduler.EndedJob, readAt time.Time) jobSnapshot {
+	return jobSnapshot{
+		view:        wire.JobView{ID: id, State: ended.Record.State, Done: ended.Record.Done},
+		found:       true,
+		readAt:      readAt,
+		finalSeenAt: c.replication.revisions.seenAt(ended.ModRevision, time.Now()),
+	}
 }
 
 // liveView describes a live job for a user's request. Done counts only the tasks in the first chunk
--- a/internal/controller/queries_test.go
+++ b/internal/controller/queries_test.go
@@ -115,7 +115,7 @@
 		t.Fatal(err)
 	}
 	// An old read that this query shares, as if the process had paused after the read's reply.
-	stale := &refreshCall{done: make(chan struct{}), answeredAt: time.Now().Add(-2 * tuning.MaxAnswerAge)}
+	stale := &refreshCall{done: make(chan struct{}), sentAt: time.Now().Add(-2 * tuning.MaxAnswerAge)}
 	close(stale.done)
 	c.jobSync.refresher.next, c.jobSync.refresher.serving = stale, true
 	commitOps(t, client, wire.Op{Set: records.JobKey(id), Value: records.Job{Job: wire.Job{ID: id, Tasks: 1}, Cancelled: true}})
@@ -124,8 +124,8 @@
 		defer c.jobSync.refresher.mu.Unlock()
 		c.jobSync.refresher.next, c.jobSync.refresher.serving = nil, false
 	})
-	if v, found, err := c.lookUpJob(ctx, id); err != nil || !found || v.State != wire.JobCancelled {
-		t.Errorf("%+v %v %v", v, found, err)
+	if snapshot, err := c.lookUpJob(ctx, id); err != nil || !snapshot.found || snapshot.view.State != wire.JobCancelled {
+		t.Errorf("%+v %v", snapshot, err)
 	}
 }
 
--- a/internal/controller/refresher.go
+++ b/internal/controller/refresher.go
@@ -9,8 +9,8 @@
 // replicaRefresher shares reads of changes for the replica among concurrent callers. Its lock is
 // never held together with Controller.mu.
 type replicaRefresher struct {
-	read        func() error         // brings the replica up to date
-	minInterval func() time.Duration // the least time between two reads
+	read        func() (sentAt time.Time, err error) // brings the replica up to date as of sentAt
+	minInterval func() time.Duration                 // the least time between two reads
 
 	mu      sync.Mutex
 	next    *refreshCall // the read that new callers join, not sent yet; nil if no caller has joined
@@ -19,19 +19,19 @@
 
 // refreshCall is one read of changes, shared by the callers that joined it before it was sent.
 type refreshCall struct {
-	done       chan struct{} // closed when the fields below are set
-	err        error
-	answeredAt time.Time
+	done   chan struct{} // closed when the fields below are set
+	err    error
+	sentAt time.Time
 }
 
 // refresh brings the replica up to date as of a time after refresh was called. Concurrent callers
 // share a read, but only one that is sent after each of them has called. It returns the time at
-// which that read was answered.
-func (r *replicaRefresher) refresh(ctx context.Context) (answeredAt time.Time, err error) {
+// which that read was sent.
+func (r *replicaRefresher) refresh(ctx context.Context) (sentAt time.Time, err error) {
 	call := r.join()
 	select {
 	case <-call.done:
-		return call.answeredAt, call.err
+		return call.sentAt, call.err
 	case <-ctx.Done():
 		return time.Time{}, ctx.Err()
 	}
@@ -63,8 +63,7 @@
 		if call == nil {
 			return
 		}
-		call.err = r.read()
-		call.answeredAt = time.Now()
+		call.sentAt, call.err = r.read()
 		close(call.done)
 		time.Sleep(r.minInterval())
 	}
--- a/internal/controller/replication.go
+++ b/internal/controller/replication.go
@@ -19,6 +19,8 @@
 	replica *scheduler.Replica
 	// caughtUpAt is the time up to which the replica has all changes.
 	caughtUpAt time.Time
+	// revisions tells since when the final states in the replica are known.
+	revisions revisionHistory
 }
 
 // markCaughtUp records that the replica has all changes up to sentAt, when a read was sent that
@@ -50,26 +52,27 @@
 	return max(tuning.MinSyncInterval, config.Seconds(controllers/rate))
 }
 
-// readChanges brings the replica up to date once. The refresher calls it.
-func (s *jobSync) readChanges() error {
+// readChanges brings the replica up to date once, as of sentAt. The refresher calls it.
+func (s *jobSync) readChanges() (sentAt time.Time, err error) {
 	c := s.controller
+	sentAt = time.Now()
 	ctx := context.Background() // the store's client sets a timeout for each call
 	c.mu.Lock()
 	loaded, fromRevision := c.replication.replica.Loaded, c.replication.replica.Revision
 	c.mu.Unlock()
 	if !loaded {
-		return s.reload(ctx)
+		return sentAt, s.reload(ctx)
 	}
-	sentAt := time.Now()
 	changes, err := c.store.Watch(ctx, kvstore.PriorityUser, records.JobsPrefix, fromRevision, 0)
 	switch {
 	case errors.Is(err, kvstore.ErrCompacted):
-		return s.reload(ctx)
+		return sentAt, s.reload(ctx)
 	case err != nil:
-		return err
+		return sentAt, err
 	}
 	s.applyChanges(changes, sentAt)
-	return nil
+	//mutation:age-since-sending
+	return sentAt, nil
 }
 
 // run reads changes periodically until ctx ends. A follower reads them before the store discards
@@ -121,6 +124,7 @@
 	c.update(func() {
 		c.updateCancellationWatermark()
 		c.replication.markCaughtUp(sentAt)
+		c.replication.revisions.observe(changes.Revision, time.Now())
 		changedJobs, unreadable := c.replication.replica.Apply(changes)
 		logUnreadableRecords(c.log, unreadable)
 		if !c.leadership.leading() {
@@ -149,6 +153,7 @@
 		}
 		c.updateCancellationWatermark()
 		c.replication.markCaughtUp(sentAt)
+		c.replication.revisions.observe(jobs.Revision, time.Now())
 		logUnreadableRecords(c.log, c.replication.replica.Reset(jobs.Items, jobs.Revision))
 		if c.leadership.leading() {
 			c.leadership.scheduler.DropPendingCancellationsBefore(sentAt.Sub(c.startedAt))
--- a/internal/controller/request_outcomes.go
+++ b/internal/controller/request_outcomes.go
@@ -27,6 +27,7 @@
 	outcomeStoreUnavailable requestOutcome = "key-value store: unavailable"
 	outcomeStoreUnknown     requestOutcome = "key-value store: answer lost"
 	outcomeStoreRejected    requestOutcome = "key-value store: too large or malformed"
+	outcomeTooOld           requestOutcome = "answer too old"
 	outcomeUndecided        requestOutcome = "undecided for another reason"
 )
 
--- a/internal/controller/request_outcomes_test.go
+++ b/internal/controller/request_outcomes_test.go
@@ -8,6 +8,7 @@
 	"github.com/yarrowgap/yarrowgap/internal/kvstore"
 	"github.com/yarrowgap/yarrowgap/internal/peer"
 	"github.com/yarrowgap/yarrowgap/internal/records"
+	"github.com/yarrowgap/yarrowgap/internal/scheduler"
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -15,7 +16,7 @@
 func TestQueriesAreCountedByOutcome(t *testing.T) {
 	const id = "run-000001"
 	c := newTestController(t)
-	c.replication.replica.CacheEnded(id, records.EndedJob{State: wire.JobDone, Done: 1, Tasks: 1})
+	c.replication.replica.CacheEnded(id, scheduler.EndedJob{Record: records.EndedJob{State: wire.JobDone, Done: 1, Tasks: 1}})
 	c.Query(context.Background(), id, FromUser)
 	c.admission.tickLag.Store(int64(tuning.MaxQueryAndCancelTickLag + 1))
 	c.Query(context.Background(), id, FromUser)
--- a/internal/controller/submit.go
+++ b/internal/controller/submit.go
@@ -17,6 +17,11 @@
 
 // Submit handles POST /v2/runs, which submits a job.
 func (c *Controller) Submit(ctx context.Context, body []byte, origin Origin) Answer {
+	return c.answerInTime(ctx, peer.KindSubmit, origin, func() Answer { return c.submit(ctx, body, origin) })
+}
+
+// submit handles a submission once.
+func (c *Controller) submit(ctx context.Context, body []byte, origin Origin) Answer {
 	release, refusal := c.admission.admitSubmission()
 	if release == nil {
 		c.requestCounts.add(peer.KindSubmit, refusal)
@@ -87,19 +92,19 @@
 // answer 400 or 422: users do not retry after these, and would give up a job that was accepted. A
 // user's submission that would be refused with 503 is forwarded first.
 func (r userRequest) refuseUnlessJobExists(ctx context.Context, id string, refusal Answer) Answer {
-	view, found, err := r.controller.lookUpJob(ctx, id)
+	snapshot, err := r.controller.lookUpJob(ctx, id)
 	switch {
 	//mutation:refusal-needs-read
 	case err != nil:
 		//mutation:refusal-after-failed-read
 		return r.forwardOrRefuse(err)
-	case found:
-		return stateAnswer(http.StatusOK, id, view.State)
+	case snapshot.found:
+		return stateAnswer(http.StatusOK, id, snapshot.view.State).during(snapshot.validity())
 	case refusal.Status == http.StatusServiceUnavailable && r.origin == FromUser:
 		return r.forwardOrRefuse(errors.New(refusal.Error))
 	}
 	r.controller.log.Info("submission refused", "job", id, "status", refusal.Status, "reason", refusal.Error)
-	return refusal
+	return refusal.during(snapshot.validity())
 }
 
 // submission is a valid submission that is being committed. Only the goroutine of run uses
@@ -110,9 +115,9 @@
 	jobID   string
 	txn     wire.Txn
 
-	commitResults chan error  // outcome of each commit attempt; one runs at a time
-	peerAnswers   chan Answer // a peer's answer that has the job's state
-	forwarded     bool        // whether this controller or a peer has forwarded the submission
+	commitResults chan commitAttempt // outcome of each commit attempt; one runs at a time
+	peerAnswers   chan Answer        // a peer's answer that has the job's state
+	forwarded     bool               // whether this controller or a peer has forwarded the submission
 	// maybeCommitted is set when an earlier attempt of this controller or a peer may have been
 	// executed. A conflict then does not prove that the job existed before the submission.
 	maybeCommitted bool
@@ -127,7 +132,7 @@
 			If:   []wire.Compare{{Key: records.JobKey(id)}, {Key: records.EndedJobKey(id)}},
 			Then: []wire.Op{{Set: records.JobKey(id), Value: record}},
 		},
-		commitResults: make(chan error, 1),
+		commitResults: make(chan commitAttempt, 1),
 		peerAnswers:   make(chan Answer, 1),
 		forwarded:     request.origin == FromPeer,
 	}
@@ -142,9 +147,9 @@
 	defer hedge.Stop()
 	for {
 		select {
-		case err := <-s.commitResults:
-			if !errors.Is(err, kvstore.ErrOutcomeUnknown) {
-				return s.answer(ctx, err)
+		case result := <-s.commitResults:
+			if !errors.Is(result.err, kvstore.ErrOutcomeUnknown) {
+				return s.answer(ctx, result)
 			}
 			// Whether or not the write was executed, it is safe to repeat: its comparisons
 			// let it succeed only once. The delay avoids a busy loop. A peer may have a better
@@ -157,14 +162,21 @@
 		case answer := <-s.peerAnswers:
 			return answer
 		case <-ctx.Done():
-			return s.answer(ctx, ctx.Err())
+			return s.answer(ctx, commitAttempt{err: ctx.Err()})
 		}
 	}
 }
 
+// commitAttempt is the outcome of a commit that was sent at sentAt.
+type commitAttempt struct {
+	sentAt time.Time
+	err    error
+}
+
 func (s *submission) commit(ctx context.Context) {
+	sentAt := time.Now()
 	_, _, err := s.request.controller.store.Commit(ctx, kvstore.PriorityUser, s.txn)
-	s.commitResults <- err
+	s.commitResults <- commitAttempt{sentAt, err}
 }
 
 // forwardToPeer forwards the submission, unless it has been forwarded already.
@@ -185,10 +197,15 @@
 }
 
 // answer returns the answer to the submission by the outcome of its last commit attempt.
-func (s *submission) answer(ctx context.Context, err error) Answer {
+func (s *submission) answer(ctx context.Context, result commitAttempt) Answer {
+	err := result.err
+	accepted := stateReadAt(result.sentAt)
 	switch {
+	case err == nil && !accepted.expired(time.Now()):
+		return stateAnswer(http.StatusCreated, s.jobID, wire.JobPending).during(accepted)
 	case err == nil:
-		return stateAnswer(http.StatusCreated, s.jobID, wire.JobPending)
+		s.maybeCommitted = true
+		return s.answerExistingJob(ctx)
 	case errors.Is(err, kvstore.ErrConflict):
 		return s.answerExistingJob(ctx)
 	case errors.Is(err, kvstore.ErrRejected) && !s.maybeCommitted:
@@ -206,13 +223,13 @@
 // answerExistingJob answers a submission whose job exists in the key-value store, possibly because
 // an earlier attempt to commit this submission was executed.
 func (s *submission) answerExistingJob(ctx context.Context) Answer {
-	view, found, err := s.request.controller.lookUpJob(ctx, s.jobID)
-	if err != nil || !found {
+	snapshot, err := s.request.controller.lookUpJob(ctx, s.jobID)
+	if err != nil || !snapshot.found {
 		return s.request.forwardOrRefuse(errors.Join(err, errStateNotRead))
 	}
 	status := http.StatusOK
 	if s.maybeCommitted {
 		status = http.StatusCreated
 	}
-	return stateAnswer(status, s.jobID, view.State)
+	return stateAnswer(status, s.jobID, snapshot.view.State).during(snapshot.validity())
 }
--- a/internal/controller/views.go
+++ b/internal/controller/views.go
@@ -64,10 +64,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tuning.LocalQueryTimeout)
 	defer cancel()
-	view, found, err := c.lookUpJob(ctx, id)
-	if err != nil || !found {
-		return nil, found, err
+	snapshot, err := c.lookUpJob(ctx, id)
+	if err != nil || !snapshot.found {
+		return nil, snapshot.found, err
 	}
+	view := snapshot.view
 	return &scheduler.JobDetail{ID: id, State: view.State, Done: view.Done, Running: view.Running, Attempts: []scheduler.TaskView{}}, true, nil
 }
 
--- a/internal/mutation/userapi_test.go
+++ b/internal/mutation/userapi_test.go
@@ -121,6 +121,39 @@
 		operator: replace("true", operand(1, 2)),
 		test:     "internal/controller:^TestLookUpJobReadsAgainAfterProcessPause$",
 	},
+	{
+		scenario: "an answer is held up until the user was told the job's final state by another controller",
+		marker:   "expired-answer",
+		operator: setCondition(true),
+		test:     "internal/controller:^TestExpiredAnswerIsNotGiven$",
+	},
+	{
+		scenario: "a peer's answer to a forwarded request is held up",
+		marker:   "age-of-forwarded-answer",
+		// The age counts from the arrival of the answer.
+		operator: replaceName("sentAt", "now"),
+		test:     "internal/controller:^TestNoAnswerIsOlderThanFinalOne$",
+	},
+	{
+		scenario: "an answer is held up for less than its maximum age",
+		marker:   "final-answer-delay",
+		operator: dropElement(0, 1),
+		test:     "internal/controller:^TestNoAnswerIsOlderThanFinalOne$",
+	},
+	{
+		scenario: "the key-value store's answer to a read is held up",
+		marker:   "age-since-sending",
+		// The age counts from the arrival of the answer.
+		operator: replaceName("sentAt", "time.Now()"),
+		test:     "internal/controller:^TestAgeOfReadCountsFromItsRequest$",
+	},
+	{
+		scenario: "the second of two reads that show a job to be absent is held up",
+		marker:   "absence-since-first-read",
+		// The age counts from the arrival of the second answer.
+		operator: replaceName("notLiveAt", "time.Now()"),
+		test:     "internal/controller:^TestAbsenceCountsFromItsFirstRead$",
+	},
 	{
 		scenario: "replies to reads of changes overtake each other",
 		marker:   "change-order",
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -102,6 +102,12 @@
 	View   *wire.JobView       `cbor:"view,omitempty"`
 	State  *wire.JobStateReply `cbor:"state,omitempty"`
 	Error  string              `cbor:"error,omitempty"`
+	// ReadDelayMilli is the time from the receipt of the request until the read was sent that the
+	// reply is based on, rounded down.
+	ReadDelayMilli int64 `cbor:"read_ms,omitempty"`
+	// SettlesInMilli is 1 plus the time until the job's final state may be told to the user, rounded
+	// up. 0 means that the state is not final, or that the sender runs a version without this field.
+	SettlesInMilli int64 `cbor:"settles_ms,omitempty"`
 }
 
 // Limits on connections.
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -138,7 +138,7 @@
 		jobs := heapGrowth(func() any {
 			replica := NewReplica()
 			for i := range ended {
-				replica.CacheEnded(fmt.Sprintf("run-%06d", i), records.EndedJob{State: wire.JobDone, Done: 40, Tasks: 40, Class: "batch"})
+				replica.CacheEnded(fmt.Sprintf("run-%06d", i), EndedJob{Record: records.EndedJob{State: wire.JobDone, Done: 40, Tasks: 40, Class: "batch"}})
 			}
 			return replica
 		})
--- a/internal/scheduler/replica.go
+++ b/internal/scheduler/replica.go
@@ -27,10 +27,16 @@
 	absent   map[string]bool          // IDs of jobs that don't exist
 }
 
+// EndedJob is the record of an ended job as last read or watched.
+type EndedJob struct {
+	Record      records.EndedJob
+	ModRevision uint64
+}
+
 // endedEntry is a cached ended job.
 type endedEntry struct {
-	id     string
-	record records.EndedJob
+	id string
+	EndedJob
 }
 
 // NewReplica returns an empty replica, which is not loaded before Reset.
@@ -87,7 +93,7 @@
 				undecodable = append(undecodable, event.Set)
 				continue
 			}
-			r.CacheEnded(records.IDFromKey(records.EndedJobPrefix, event.Set), record)
+			r.CacheEnded(records.IDFromKey(records.EndedJobPrefix, event.Set), EndedJob{record, event.ModRevision})
 		case strings.HasPrefix(event.Delete, records.LiveJobPrefix):
 			id := records.IDFromKey(records.LiveJobPrefix, event.Delete)
 			delete(r.Live, id)
@@ -128,13 +134,13 @@
 
 // CacheEnded caches how a job ended. The least recently used entry is dropped when the cache is
 // full.
-func (r *Replica) CacheEnded(id string, record records.EndedJob) {
+func (r *Replica) CacheEnded(id string, ended EndedJob) {
 	delete(r.absent, id)
 	if element, ok := r.ended[id]; ok {
 		r.recency.MoveToFront(element)
 		return
 	}
-	r.ended[id] = r.recency.PushFront(endedEntry{id, record})
+	r.ended[id] = r.recency.PushFront(endedEntry{id, ended})
 	for r.recency.Len() > tuning.MaxCachedEndedJobs {
 		element := r.recency.Back()
 		delete(r.ended, element.Value.(endedEntry).id)
@@ -143,11 +149,11 @@
 }
 
 // CachedEnded returns how a job ended, if that is cached.
-func (r *Replica) CachedEnded(id string) (records.EndedJob, bool) {
+func (r *Replica) CachedEnded(id string) (EndedJob, bool) {
 	element, ok := r.ended[id]
 	if !ok {
-		return records.EndedJob{}, false
+		return EndedJob{}, false
 	}
 	r.recency.MoveToFront(element)
-	return element.Value.(endedEntry).record, true
+	return element.Value.(endedEntry).EndedJob, true
 }
--- a/internal/tuning/controller.go
+++ b/internal/tuning/controller.go
@@ -66,10 +66,15 @@
 	// LocalQueryTimeout is how long a query waits at the controller that received it before it
 	// is forwarded. Users wait 2 s in all.
 	LocalQueryTimeout = 700 * time.Millisecond
-	// MaxAnswerAge is the maximum time from the read of a job's state to the answer with it. A
-	// process that was paused in between reads the state again. Without a pause the answer
-	// takes far less.
+	// MaxAnswerAge is the maximum time from when the read of a job's state was sent to the answer
+	// with it, unless the state is final.
 	MaxAnswerAge = 500 * time.Millisecond
+	// FinalAnswerDelay is the time from when a final state was first seen to the answer with it. It
+	// exceeds MaxAnswerAge by more than clocks drift and timers vary in that time.
+	FinalAnswerDelay = MaxAnswerAge + 10*time.Millisecond
+	// StaleAnswerRetryTime is how long a request whose answer is too old is served again. Users wait
+	// 2 s for a query.
+	StaleAnswerRetryTime = 1200 * time.Millisecond
 	// HealthCheckTimeout is set by the protocol: how long a load balancer waits for the answer to a
 	// health check.
 	HealthCheckTimeout = time.Second
