Fence forgets also against copies of heartbeat replies with starts

Cause: a forget raised the fencing token only after starts by direct calls. A start in a reply and the forget of its attempt could go under the same token, and a worker that has forgotten the attempt executes the copy.

Evidence: TestLateCopiesOfStartsHaveNoEffect delivers late copies of executed and answered starts, by direct call and by reply, after a forget, to moved and cancelled tasks, under new leaders, and after controllers and machines were back within a second.

Why this works: the token is also raised if a reply with a start was sent under it in the last 4 s. Later copies of replies are dropped by the worker, later ones of direct calls by the token.

The test fails without each of these: the token raised before a forget (for direct calls, for replies, after a cancellation, after a machine was back), the raised counter, the term in the token, and the wait of a new attempt for the forget of an ended one. The worker's own check of its session cannot be taken out here.

--- a/internal/mutation/heartbeat_test.go
+++ b/internal/mutation/heartbeat_test.go
@@ -3,6 +3,7 @@
 // Tests that several rows use.
 const (
 	messageFaultsTest     = "internal/scheduler:^TestCombinedMessageFaults$/"
+	lateCopiesTest        = "internal/scheduler:^TestLateCopiesOfStartsHaveNoEffect$/"
 	absenceProofTest      = "internal/scheduler:^TestEachConditionDefeatsProofOfAbsence$"
 	unexpectedMachineTest = "internal/scheduler:^TestUnexpectedMachineIsAdopted$"
 )
@@ -52,6 +53,60 @@
 		operator: setCondition(false),
 		test:     messageFaultsTest + "a_command_or_its_answer",
 	},
+	{
+		scenario: "a late copy of a start that was executed arrives after a forget",
+		marker:   "forget-raises-fencing-token",
+		operator: setCondition(false),
+		test:     lateCopiesTest + "after_a_forget",
+	},
+	{
+		scenario: "a late copy of a start by a direct call arrives after a forget",
+		marker:   "copies-of-replies",
+		operator: dropOperands(2, 0),
+		test:     lateCopiesTest + "after_a_forget",
+	},
+	{
+		scenario: "a late copy of a start by a reply arrives after its task has moved",
+		marker:   "copies-of-replies",
+		operator: dropOperands(2, 1),
+		test:     lateCopiesTest + "a_moved_task",
+	},
+	{
+		scenario: "a late copy of a start arrives after its task was cancelled",
+		marker:   "forget-raises-fencing-token",
+		operator: setCondition(false),
+		test:     lateCopiesTest + "a_cancelled_task",
+	},
+	{
+		scenario: "a late copy of a start arrives although the fencing token was raised",
+		marker:   "fencing-counter-raised",
+		operator: remove(),
+		test:     lateCopiesTest + "a_moved_task",
+	},
+	{
+		scenario: "a late copy of an earlier leader's start arrives",
+		marker:   "fencing-token-has-term",
+		operator: replace("1", argument(0, 2)),
+		test:     lateCopiesTest + "a_new_leader",
+	},
+	{
+		scenario: "a late copy of a start arrives after all controllers were back within a second",
+		marker:   "fencing-token-has-term",
+		operator: replace("1", argument(0, 2)),
+		test:     lateCopiesTest + "a_controller_back",
+	},
+	{
+		scenario: "a late copy of a start arrives after a later attempt has ended on the machine",
+		marker:   "start-after-forget",
+		operator: setCondition(false),
+		test:     lateCopiesTest + "a_task_that_is_back",
+	},
+	{
+		scenario: "a late copy of a start arrives after its machine was back within a second",
+		marker:   "forget-raises-fencing-token",
+		operator: setCondition(false),
+		test:     lateCopiesTest + "a_machine_back",
+	},
 	{
 		scenario: "a start is delayed past its stop, and no fencing token is ever raised",
 		marker:   "fencing-counter-raised",
--- a/internal/scheduler/dispatch.go
+++ b/internal/scheduler/dispatch.go
@@ -78,16 +78,20 @@
 		return commands
 	}
 	commands = append(commands, m.takeUnexpectedStops()...)
-	for _, a := range d.dueStarts(m) {
+	starts := d.dueStarts(m)
+	for _, a := range starts {
 		a.start.replySequence = heartbeat.Sequence
 		d.markDispatched(a)
 		commands = append(commands, startCommand(a))
 	}
 	forgets := d.dueForgets(m, jobs)
 	//mutation:forget-raises-fencing-token
-	if len(forgets) > 0 && m.fencing.sentStartsDirectly {
+	if len(forgets) > 0 && m.fencing.startCopyMayArrive(d.now.Mono) {
 		m.fenceBeforeForget(heartbeat.Sequence)
 	}
+	if len(starts) > 0 {
+		m.fencing.repliesReadUntil = d.now.Mono + tuning.WorkerHeartbeatTimeout
+	}
 	return append(commands, forgets...)
 }
 
--- a/internal/scheduler/fencing.go
+++ b/internal/scheduler/fencing.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/yarrowgap/yarrowgap/internal/tuning"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -21,6 +23,7 @@
 
 // fencingToken returns the current fencing token for a machine.
 func (c *termContext) fencingToken(m *machine) uint64 {
+	//mutation:fencing-token-has-term
 	return newFencingToken(c.term, m.fencing.counter)
 }
 
@@ -29,7 +32,14 @@
 func (f *fencingState) raise() {
 	//mutation:fencing-counter-raised
 	f.counter = min(f.counter+1, maxCounter) // resignIfCountersNearLimit ends the term long before
-	f.sentStartsDirectly = false
+	f.sentStartsDirectly, f.repliesReadUntil = false, 0
+}
+
+// startCopyMayArrive reports whether the worker may still receive a copy of a start that was sent
+// under the current token: by a direct call at any time, in a reply until the worker drops it.
+func (f *fencingState) startCopyMayArrive(now time.Duration) bool {
+	//mutation:copies-of-replies
+	return f.sentStartsDirectly || now < f.repliesReadUntil
 }
 
 // newAttempt creates an attempt with a number that was never used. The high bits hold the term, so
--- a/internal/scheduler/machine.go
+++ b/internal/scheduler/machine.go
@@ -110,6 +110,9 @@
 	counter            uint64 // low bits of the fencing token in use with the machine
 	sentStartsDirectly bool   // a direct call has sent starts since the counter was last raised
 	highestSeenToken   uint64 // the highest token in the heartbeats applied in this term
+	// repliesReadUntil is the time until which the worker may read replies with starts, or copies of
+	// them, that were sent since the counter was last raised.
+	repliesReadUntil time.Duration
 }
 
 // directCallState is the state of the direct calls to a machine. At most one is in flight.
--- a/internal/scheduler/simulation_calls_test.go
+++ b/internal/scheduler/simulation_calls_test.go
@@ -122,6 +122,8 @@
 	result := scheduler.CallExecuted
 	if status == 409 {
 		result = scheduler.CallRefused
+	} else {
+		sim.copier.executed(worker, directCall, call.Body.Commands, func() { worker.HandleCommands(sim.now, call.Body) })
 	}
 	for _, d := range sim.deliveryDelays(call.Machine, c.name) {
 		sim.after(d+sim.randomDelay(sim.maxCallDelayMS), func() { finish(result, &heartbeat) })
--- a/internal/scheduler/simulation_test.go
+++ b/internal/scheduler/simulation_test.go
@@ -72,6 +72,7 @@
 	// limitsLowered is set once the store has lower limits than the settings say.
 	limitsLowered bool
 
+	copier          *messageCopier // delivers late copies of starts; nil: there are none
 	disabled        safeguard
 	traceLogs       bool                     // print the leaders' log lines
 	decisions       *decisionDigest          // digest of all leaders' decisions; nil: not computed
--- a/internal/scheduler/simulation_workers_test.go
+++ b/internal/scheduler/simulation_workers_test.go
@@ -153,13 +153,22 @@
 		return
 	}
 	x.finished = true
-	x.worker.HandleHeartbeatReply(sim.now, x.sentAt, x.incarnation, reply)
+	if x.worker.HandleHeartbeatReply(sim.now, x.sentAt, x.incarnation, reply) {
+		sim.copier.executed(x.worker, heartbeatReply, reply.Commands, func() { x.answeredAgain(reply) })
+	}
 	if len(reply.Commands) > 0 {
 		x.nextScheduled = true
 		sim.after(max(0, x.sentAt+statusChangeDelay-sim.now), x.sendNext)
 	}
 }
 
+// answeredAgain passes a copy of the answer to the worker, which drops it after its timeout.
+func (x *heartbeatExchange) answeredAgain(reply wire.HeartbeatReply) {
+	if x.sim.now-x.sentAt < heartbeatTimeout {
+		x.worker.HandleHeartbeatReply(x.sim.now, x.sentAt, x.incarnation, reply)
+	}
+}
+
 // intervalElapsed sends the next heartbeat: at once if this exchange has finished, otherwise
 // after the timeout of this heartbeat.
 func (x *heartbeatExchange) intervalElapsed() {
--- a/internal/simulator/rules_cancellation.go
+++ b/internal/simulator/rules_cancellation.go
@@ -34,6 +34,12 @@
 // CancelRequested records that a user has requested the cancellation of a job.
 func (c *RuleChecker) CancelRequested(job string) { c.cancellation.requested[job] = true }
 
+// CancellationConfirmed reports whether the cancellation of a job was confirmed to a user.
+func (c *RuleChecker) CancellationConfirmed(job string) bool {
+	_, confirmed := c.cancellation.confirmedAt[job]
+	return confirmed
+}
+
 // checkStartAfterCancellation checks the start of a task. If the cancellation of its job was
 // confirmed before, it records a violation after the grace period, and a late start within it.
 func (c *RuleChecker) checkStartAfterCancellation(now time.Duration, job *wire.Job, task string) {
--- a/internal/simulator/worker.go
+++ b/internal/simulator/worker.go
@@ -29,6 +29,9 @@
 	FencingToken              uint64
 	Incarnation, Sequence     uint64
 	Terminated                bool
+	// KeepsOneAttempt makes the worker drop the exited attempts of a task when another attempt of the
+	// task starts. The protocol has it list them until they are forgotten.
+	KeepsOneAttempt bool
 
 	checker        *RuleChecker
 	leaseDuration  time.Duration
--- a/internal/simulator/worker_commands.go
+++ b/internal/simulator/worker_commands.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"maps"
 	"net/http"
 	"time"
 
@@ -103,6 +104,9 @@
 		w.attempts[id] = &attemptStatus{state: attemptExited, cause: refusal}
 		return
 	}
+	if w.KeepsOneAttempt {
+		maps.DeleteFunc(w.attempts, func(other attemptID, _ *attemptStatus) bool { return other.task == id.task })
+	}
 	w.attempts[id] = &attemptStatus{state: attemptFetching}
 }
 
