--- a/internal/api/older_answers_test.go
+++ b/internal/api/older_answers_test.go
@@ -17,7 +17,7 @@
 type heldAnswer struct {
 	cluster    *cluster
 	job        *wire.Job
-	completion *delayedWrite // the job is done once this is committed
+	completion *delayedWrite // the job is done once this is committed; not written before
 	asked      int           // the controller that gets the request
 	telling    int           // the controller that tells the final state
 }
@@ -57,9 +57,7 @@
 			}
 			held := scenario.hold(h)
 			defer c.openGates()
-			answer := make(chan reply, 1)
-			go func() { answer <- newHistoryChecker(c, h.job).perform(h.asked, scenario.request) }()
-			<-held.handled
+			answer := h.requestUntilHeld(scenario.request, held)
 			finalState := scenario.end(h)
 			close(held.release)
 			if got := <-answer; got.status != http.StatusServiceUnavailable && got.view.State != finalState {
@@ -70,6 +68,25 @@
 	c.expectNoViolations()
 }
 
+// requestUntilHeld sends the request until its answer is held, and returns the channel on which the
+// answer to the last one follows. A request may be answered at once, for example while the controller
+// forwards nothing to a peer that declined one just before.
+func (h heldAnswer) requestUntilHeld(kind requestKind, held *heldReply) <-chan reply {
+	user := newHistoryChecker(h.cluster, h.job)
+	for end := time.Now().Add(eventuallyTimeout); ; time.Sleep(pollInterval) {
+		answer := make(chan reply, 1)
+		go func() { answer <- user.perform(h.asked, kind) }()
+		select {
+		case <-held.handled:
+			return answer
+		case got := <-answer:
+			if time.Now().After(end) {
+				h.cluster.tb.Fatalf("%s is not held: %+v", kind, got)
+			}
+		}
+	}
+}
+
 // holdForwardedAnswer makes the key-value store refuse the asked controller, and holds the peers'
 // answer to the request that it forwards.
 func (h heldAnswer) holdForwardedAnswer() *heldReply {
--- a/internal/controller/validity.go
+++ b/internal/controller/validity.go
@@ -75,7 +75,7 @@
 		if origin == FromPeer {
 			return answer
 		}
-		if !sleep(ctx, time.Until(answer.validity.from)) {
+		if wait := time.Until(answer.validity.from); wait > 0 && !sleep(ctx, wait) {
 			return unavailableAnswer
 		}
 		//mutation:expired-answer
