Restart test: wait until no record names a job that no controller knows

TestCommandsAfterColdRestart was a known red: on a busy machine the leader counted one stop more than required. The simulation counts a repeated stop of an attempt once, so only the leader's own counter showed it.

The test now waits until no record names such a job before it restarts the controllers.

--- a/internal/api/reconcile_test.go
+++ b/internal/api/reconcile_test.go
@@ -5,12 +5,14 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/yarrowgap/yarrowgap/internal/api"
 	"github.com/yarrowgap/yarrowgap/internal/policy"
 	"github.com/yarrowgap/yarrowgap/internal/reconcile"
+	"github.com/yarrowgap/yarrowgap/internal/records"
 	"github.com/yarrowgap/yarrowgap/internal/simulator"
 	"github.com/yarrowgap/yarrowgap/wire"
 )
@@ -68,6 +70,27 @@
 	})
 }
 
+// firstUnknownJob is the number of the first job that no controller knows.
+const firstUnknownJob = 900
+
+// waitUntilUnknownJobsLeaveRecords waits until no stored assignment names a job that no controller
+// knows. Until then a new leader has to stop its attempts, which may have ended.
+func (c *cluster) waitUntilUnknownJobsLeaveRecords() {
+	c.tb.Helper()
+	c.eventually("records without unknown jobs", func() bool {
+		for _, item := range c.simulation.KeysWithPrefix(records.BatchPrefix) {
+			batch, err := records.DecodeBatch(item.Value)
+			if err != nil {
+				c.tb.Fatal(err)
+			}
+			if slices.ContainsFunc(batch.Jobs, func(id string) bool { return id >= jobID(firstUnknownJob) }) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // injectDifferences makes the state of machines differ from the records while the controllers are
 // down. It returns how many operations on machines and in the cloud the differences require.
 func (c *cluster) injectDifferences(seed uint64) (required simulator.OperationCounts) {
@@ -93,7 +116,7 @@
 	}
 	// Restarted, and running a task of a job that no controller knows.
 	for i, machine := range takeMachines(4) {
-		unknown := newJob(900+i, 1)
+		unknown := newJob(firstUnknownJob+i, 1)
 		unknown.CPUs = 0.1
 		c.simulation.UploadJob(unknown, time.Hour)
 		required.Starts += c.simulation.ActiveAttempts(machine)
@@ -126,6 +149,7 @@
 
 func runColdRestart(t *testing.T, c *cluster, seed uint64) {
 	t.Helper()
+	c.waitUntilUnknownJobsLeaveRecords()
 	c.simulation.TakeOperationCounts()
 	c.stopAllControllers()
 	var required simulator.OperationCounts
--- a/internal/simulator/deployment.go
+++ b/internal/simulator/deployment.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -137,6 +138,13 @@
 	return d.kvStore.Get(d.now(), key).ModRevision != 0
 }
 
+// KeysWithPrefix returns the keys of the key-value store that start with a prefix, and their values.
+func (d *Deployment) KeysWithPrefix(prefix string) []wire.KeyValue {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.kvStore.Range(d.now(), prefix, "", math.MaxInt).Items
+}
+
 // UploadJob makes a job and the run time of its tasks known to the workers. A user does this
 // before submitting the job.
 func (d *Deployment) UploadJob(job *wire.Job, runTime time.Duration) {
