Refuse gangs of several tasks, which were accepted and never started

Cause: workers start a gang under one attempt number; the scheduler gives each task its own. TestInvalidSubmissionsAreRejected failed before: 'gang of several tasks: 201, want 422'.

Left of the point: a stored gang is still shown as waiting, and the generated test over all shapes.

--- a/internal/api/invalid_submission_test.go
+++ b/internal/api/invalid_submission_test.go
@@ -79,6 +79,9 @@
 		withField(http.StatusUnprocessableEntity, "pasture", "unknown", "z"),
 		invalidSubmission{name: "service over the limit", status: http.StatusUnprocessableEntity,
 			changes: map[string]any{"shape": "daemon", "shifts": 9}},
+		// Guards against a job that is accepted and never starts.
+		invalidSubmission{name: "gang of several tasks", status: http.StatusUnprocessableEntity,
+			changes: map[string]any{"shape": "gang", "shifts": 2}},
 	)
 }
 
--- a/internal/controller/feasibility.go
+++ b/internal/controller/feasibility.go
@@ -13,6 +13,7 @@
 	errOverQuotaLimit      = errors.New("needs more than the team's limit")
 	errUnknownTeam         = errors.New("unknown team")
 	errNoMachineType       = errors.New("a task fits no allowed machine type")
+	errGangUnsupported     = errors.New("gangs of several tasks cannot run yet")
 	errMachineTypesUnknown = errors.New("machine types not known yet")
 )
 
@@ -26,6 +27,11 @@
 	if err := checkQuota(job, teams); err != nil {
 		return err
 	}
+	// Workers start a gang only if all its tasks have one attempt number; the scheduler numbers each.
+	//mutation:gang-unsupported
+	if job.Gang() && job.Tasks > 1 {
+		return errGangUnsupported
+	}
 	if len(types) == 0 {
 		return errMachineTypesUnknown
 	}
--- a/internal/mutation/userapi_test.go
+++ b/internal/mutation/userapi_test.go
@@ -91,6 +91,12 @@
 		operator: keepArgument(2, 3),
 		test:     "internal/api:^TestInvalidSubmissionsAreRejected$",
 	},
+	{
+		scenario: "a submission is a gang of several tasks, which never starts",
+		marker:   "gang-unsupported",
+		operator: setCondition(false),
+		test:     "internal/api:^TestInvalidSubmissionsAreRejected$",
+	},
 	{
 		scenario: "a submission has an amount that is not a number",
 		marker:   "amount-is-finite",
