--- a/internal/controller/queries.go
+++ b/internal/controller/queries.go
@@ -61,19 +61,19 @@
 // cannot be determined now. If the read took long or the process was paused after it, the state is
 // read again, since another controller may have told the user a newer state meanwhile.
 func (c *Controller) lookUpJob(ctx context.Context, id string) (snapshot jobSnapshot, err error) {
-	err = readUntilFresh(func() (readAt time.Time, err error) {
+	err = readUntilValid(func() (validity, error) {
 		snapshot, err = jobReader{c, id}.read(ctx)
-		return snapshot.readAt, err
+		return snapshot.validity(), err
 	})
 	return snapshot, err
 }
 
-// readUntilFresh repeats a read until its result is younger than tuning.MaxAnswerAge. It returns
-// the error of a read that fails.
-func readUntilFresh(read func() (readAt time.Time, err error)) error {
+// readUntilValid repeats a read until its result has not expired. It returns the error of a read
+// that fails.
+func readUntilValid(read func() (validity, error)) error {
 	for {
 		//mutation:reply-staleness
-		if readAt, err := read(); err != nil || time.Since(readAt) < tuning.MaxAnswerAge {
+		if v, err := read(); err != nil || !v.expired(time.Now()) {
 			return err
 		}
 	}
--- a/internal/controller/queries_test.go
+++ b/internal/controller/queries_test.go
@@ -175,16 +175,23 @@
 // A read whose result is old, because of a process pause, is repeated. A failed read is not.
 func TestReadBeforeProcessPauseIsRepeated(t *testing.T) {
 	reads := 0
-	err := readUntilFresh(func() (time.Time, error) {
+	err := readUntilValid(func() (validity, error) {
 		if reads++; reads < 3 {
-			return time.Now().Add(-time.Minute), nil
+			return stateReadAt(time.Now().Add(-time.Minute)), nil
 		}
-		return time.Now(), nil
+		return stateReadAt(time.Now()), nil
 	})
 	if err != nil || reads != 3 {
 		t.Errorf("read %d times, error %v", reads, err)
 	}
-	if err := readUntilFresh(func() (time.Time, error) { return time.Time{}, context.DeadlineExceeded }); err == nil {
+	if err := readUntilValid(func() (validity, error) { return stateReadAt(time.Time{}), context.DeadlineExceeded }); err == nil {
 		t.Error("the error of a failed read was not returned")
 	}
+	// A final state stays valid, however long its read took.
+	if err := readUntilValid(func() (validity, error) {
+		reads++
+		return finalStateSeenAt(time.Now().Add(-time.Minute)), nil
+	}); err != nil || reads != 4 {
+		t.Errorf("a final state was read %d times, error %v", reads-3, err)
+	}
 }
