--- a/internal/controller/cancel.go
+++ b/internal/controller/cancel.go
@@ -60,11 +60,15 @@
 	if live == nil {
 		return Answer{}, false
 	}
-	err = commitCancellation(ctx, c.store, live, records.MaxBytes(c.cfg.Deployment.Store.MaxValueBytes()))
+	revision, err := commitCancellation(ctx, c.store, live, records.MaxBytes(c.cfg.Deployment.Store.MaxValueBytes()))
 	switch {
 	case err == nil:
-		c.update(func() { c.confirmCancellation(id) })
-		return stateAnswer(http.StatusOK, id, wire.JobCancelled).during(finalStateSeenAt(time.Now())), true
+		now := time.Now()
+		c.update(func() {
+			c.replication.revisions.observe(revision, now)
+			c.confirmCancellation(id)
+		})
+		return stateAnswer(http.StatusOK, id, wire.JobCancelled).during(finalStateSeenAt(now)), true
 	case errors.Is(err, kvstore.ErrConflict), errors.Is(err, kvstore.ErrOutcomeUnknown) && ctx.Err() == nil:
 		return Answer{}, false
 	}
@@ -72,24 +76,24 @@
 }
 
 // commitCancellation marks the job as cancelled in the key-value store, in a record of at most
-// maxBytes if possible. It fails with kvstore.ErrConflict if the job's record has changed since live
-// was read.
-func commitCancellation(ctx context.Context, store *kvstore.Client, live *scheduler.LiveJob, maxBytes int) error {
-	commit := func(maxBytes int) error {
+// maxBytes if possible, and returns the revision of that. It fails with kvstore.ErrConflict if the
+// job's record has changed since live was read.
+func commitCancellation(ctx context.Context, store *kvstore.Client, live *scheduler.LiveJob, maxBytes int) (revision uint64, err error) {
+	commit := func(maxBytes int) (revision uint64, err error) {
 		record := live.Record.AsCancelled(maxBytes)
 		key := records.JobKey(record.Job.ID)
-		_, _, err := store.Commit(ctx, kvstore.PriorityUser, wire.Txn{
+		revision, _, err = store.Commit(ctx, kvstore.PriorityUser, wire.Txn{
 			//mutation:cancellation-conditions
 			If:   []wire.Compare{{Key: key, ModRevision: live.ModRevision}},
 			Then: []wire.Op{{Set: key, Value: record}},
 		})
-		return err
+		return revision, err
 	}
-	err := commit(maxBytes)
+	revision, err = commit(maxBytes)
 	if errors.Is(err, kvstore.ErrRejected) {
 		// The store has a lower limit than maxBytes.
 		//mutation:smallest-cancellation
-		err = commit(0)
+		revision, err = commit(0)
 	}
-	return err
+	return revision, err
 }
--- a/internal/controller/cancel_test.go
+++ b/internal/controller/cancel_test.go
@@ -34,7 +34,7 @@
 	store := kvstore.New(srv.Listener.Addr().String(), 1000)
 	job := wire.Job{ID: "run-000412", Class: "train", Team: "red", Shape: wire.ShapeService, Tasks: 3, MachineTypes: []string{strings.Repeat("x", maxRequestBytes)}}
 	live := &scheduler.LiveJob{Record: &records.Job{Job: job}, ModRevision: 7}
-	if err := commitCancellation(t.Context(), store, live, 4<<10); err != nil || requests != 2 {
-		t.Errorf("error %v after %d requests", err, requests)
+	if revision, err := commitCancellation(t.Context(), store, live, 4<<10); err != nil || requests != 2 || revision != 8 {
+		t.Errorf("revision %d, error %v after %d requests", revision, err, requests)
 	}
 }
